Add the whole path in a thin form

Three entry VMs serve online requests, routes to plain services and batch jobs against stand-ins written here.

--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,21 @@
+# Helpers that declare a package's library and its tests.
+
+# bronzecross_package(NAME SOURCES a.cc b.cc DEPS target...)
+function(bronzecross_package name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  add_library(bx_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(bx_${name} PUBLIC ${PROJECT_SOURCE_DIR}/packages)
+  target_link_libraries(bx_${name} PUBLIC ${ARG_DEPS} bx_warnings)
+endfunction()
+
+# bronzecross_test(NAME SOURCES a_test.cc DEPS target...)
+function(bronzecross_test name)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS} bx_test_main bx_warnings)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/packages/base/log.cc
@@ -0,0 +1,134 @@
+#include "base/log.h"
+
+#include <array>
+#include <atomic>
+#include <ctime>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace bronzecross {
+namespace {
+
+constexpr std::array<std::string_view, 4> kSeverityNames = {"debug", "info",
+                                                            "warning", "error"};
+constexpr std::array<std::string_view, 13> kPartNames = {
+    "main",      "config",  "http",   "store",  "peers", "membership", "limits",
+    "upstreams", "routing", "ledger", "online", "batch", "orders"};
+
+std::atomic<Severity> g_lowest = Severity::kWarning;
+std::atomic<LogFormat> g_format = LogFormat::kText;
+
+std::string Timestamp() {
+  const Millis now = WallNow();
+  const std::time_t seconds = now.count() / 1000;
+  std::tm parts = {};
+  gmtime_r(&seconds, &parts);
+  return absl::StrFormat("%04d-%02d-%02dT%02d:%02d:%02d.%03dZ",
+                         parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
+                         parts.tm_hour, parts.tm_min, parts.tm_sec,
+                         static_cast<int>(now.count() % 1000));
+}
+
+// Quotes a value that would make a text line ambiguous.
+std::string TextValue(const std::string& value) {
+  if (!value.empty() &&
+      value.find_first_of(" =\"\n\r\t") == std::string::npos) {
+    return value;
+  }
+  return nlohmann::json(value).dump(-1, ' ', true,
+                                    nlohmann::json::error_handler_t::replace);
+}
+
+std::string FormatText(Severity severity,
+                       LogPart part,
+                       std::string_view sentence,
+                       std::initializer_list<LogField> fields) {
+  std::string line = Timestamp();
+  line += ' ';
+  line += kSeverityNames[static_cast<size_t>(severity)];
+  line += ' ';
+  line += kPartNames[static_cast<size_t>(part)];
+  line += ": ";
+  line += sentence;
+  for (const LogField& field : fields) {
+    line += ' ';
+    line += field.m_name;
+    line += '=';
+    line += TextValue(field.m_value);
+  }
+  return line;
+}
+
+std::string FormatJson(Severity severity,
+                       LogPart part,
+                       std::string_view sentence,
+                       std::initializer_list<LogField> fields) {
+  nlohmann::ordered_json line;
+  line["time"] = Timestamp();
+  line["level"] = kSeverityNames[static_cast<size_t>(severity)];
+  line["part"] = kPartNames[static_cast<size_t>(part)];
+  line["message"] = sentence;
+  for (const LogField& field : fields) {
+    line[std::string(field.m_name)] = field.m_value;
+  }
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+void InitLog(Severity lowest, LogFormat format) {
+  g_lowest = lowest;
+  g_format = format;
+  boost::log::core::get()->remove_all_sinks();
+  boost::log::add_console_log(std::clog,
+                              boost::log::keywords::auto_flush = true);
+}
+
+bool IsLogged(Severity severity) {
+  return severity >= g_lowest.load(std::memory_order_relaxed);
+}
+
+void Log(Severity severity,
+         LogPart part,
+         std::string_view sentence,
+         std::initializer_list<LogField> fields) {
+  if (!IsLogged(severity)) {
+    return;
+  }
+  const std::string line = g_format == LogFormat::kText
+                               ? FormatText(severity, part, sentence, fields)
+                               : FormatJson(severity, part, sentence, fields);
+  thread_local boost::log::sources::logger logger;
+  BOOST_LOG(logger) << line;
+}
+
+void LogError(Severity severity,
+              LogPart part,
+              std::string_view sentence,
+              const Error& error) {
+  Log(severity, part, sentence,
+      {{"code", GetResultCodeInfo(error.m_code).m_name},
+       {"error", error.m_message}});
+}
+
+Result<Severity> ParseSeverity(std::string_view name) {
+  for (size_t i = 0; i < kSeverityNames.size(); ++i) {
+    if (kSeverityNames[i] == name) {
+      return static_cast<Severity>(i);
+    }
+  }
+  return Fail(ResultCode::kInvalidArgument,
+              "log level must be debug, info, warning or error");
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/config/settings.cc
@@ -0,0 +1,154 @@
+#include "config/settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "config/toml_table.h"
+
+namespace bronzecross {
+namespace {
+
+constexpr int64_t kMiB = 1 << 20;
+
+NetAddress GetAddress(TomlTable& table,
+                      std::string_view name,
+                      std::string_view fallback) {
+  const Result<NetAddress> address =
+      ParseNetAddress(table.GetString(name, fallback));
+  if (!address) {
+    table.Fault(name, "must be an IPv4 address with a port");
+    return NetAddress{};
+  }
+  return *address;
+}
+
+Millis GetMillis(TomlTable& table,
+                 std::string_view name,
+                 int64_t fallback,
+                 int64_t lowest,
+                 int64_t highest) {
+  return Millis(table.GetInt(name, fallback, lowest, highest));
+}
+
+void ReadVm(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  out.m_vm_id = table.RequireString("id");
+  out.m_availability_zone = table.RequireString("availability_zone");
+  out.m_halves = table.GetStrings("halves");
+  out.m_data_dir = table.GetString("data_dir", "");
+  out.m_data_max_bytes =
+      table.GetInt("data_max_bytes", 10'000 * kMiB, kMiB, INT64_MAX);
+  table.Finish();
+}
+
+void ReadListen(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  out.m_http_address = GetAddress(table, "http", "127.0.0.1:8080");
+  out.m_peer_address = GetAddress(table, "peer", "127.0.0.1:8081");
+  out.m_admin_address = GetAddress(table, "admin", "127.0.0.1:8082");
+  out.m_port_file = table.GetString("port_file", "");
+  table.Finish();
+}
+
+void ReadStore(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  out.m_store_endpoints = table.GetStrings("endpoints");
+  if (out.m_store_endpoints.empty()) {
+    table.Fault("endpoints", "needs at least one URL");
+  }
+  out.m_store_prefix = table.GetString("prefix", "/bronzecross/");
+  out.m_store_timeout = GetMillis(table, "timeout_ms", 1000, 10, 60'000);
+  out.m_vm_lease_ttl = GetMillis(table, "vm_lease_ttl_ms", 6000, 1000, 60'000);
+  table.Finish();
+}
+
+void ReadVmList(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  out.m_vm_list_url = table.RequireString("url");
+  out.m_vm_list_poll = GetMillis(table, "poll_ms", 1000, 50, 60'000);
+  table.Finish();
+}
+
+void ReadHttp(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  out.m_max_body_bytes =
+      table.GetInt("max_body_bytes", 8 * kMiB, 1024, 1024 * kMiB);
+  out.m_max_file_bytes =
+      table.GetInt("max_file_bytes", 2048 * kMiB, 1024, 65536 * kMiB);
+  out.m_max_header_bytes =
+      table.GetInt("max_header_bytes", 16 * 1024, 4096, kMiB);
+  out.m_max_connections = table.GetInt("max_connections", 4000, 1, 100'000);
+  out.m_idle_timeout =
+      GetMillis(table, "idle_timeout_ms", 60'000, 1000, 3'600'000);
+  table.Finish();
+}
+
+void ReadLog(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  const Result<Severity> level =
+      ParseSeverity(table.GetString("level", "info"));
+  if (level) {
+    out.m_log_level = *level;
+  } else {
+    table.Fault("level", "must be debug, info, warning or error");
+  }
+  const std::string format = table.GetString("format", "text");
+  if (format != "text" && format != "json") {
+    table.Fault("format", "must be text or json");
+  }
+  out.m_log_format = format == "json" ? LogFormat::kJson : LogFormat::kText;
+  table.Finish();
+}
+
+void ReadTimes(TomlTable& root, TomlFaults& faults, Settings& out) {
+  TomlTable online(root.GetTable("online"), faults);
+  out.m_request_timeout =
+      GetMillis(online, "request_timeout_ms", 60'000, 100, 3'600'000);
+  out.m_max_queue = online.GetInt("max_queue", 256, 0, 100'000);
+  online.Finish();
+  TomlTable membership(root.GetTable("membership"), faults);
+  out.m_heartbeat_interval =
+      GetMillis(membership, "heartbeat_ms", 100, 20, 10'000);
+  membership.Finish();
+  TomlTable drain(root.GetTable("drain"), faults);
+  out.m_drain_notice = GetMillis(drain, "notice_ms", 3000, 0, 600'000);
+  out.m_drain_timeout = GetMillis(drain, "timeout_ms", 60'000, 0, 3'600'000);
+  drain.Finish();
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(std::string_view text, std::string_view file) {
+  TomlFaults faults(file);
+  Settings settings;
+  try {
+    const toml::table document = toml::parse(text);
+    TomlTable root(document, faults);
+    ReadVm(root.GetTable("vm"), faults, settings);
+    ReadListen(root.GetTable("listen"), faults, settings);
+    ReadStore(root.GetTable("store"), faults, settings);
+    ReadVmList(root.GetTable("vm_list"), faults, settings);
+    ReadHttp(root.GetTable("http"), faults, settings);
+    ReadLog(root.GetTable("log"), faults, settings);
+    ReadTimes(root, faults, settings);
+    root.Finish();
+  } catch (const toml::parse_error& error) {
+    faults.AddAtLine(error.source().begin.line, error.description());
+  }
+  if (!faults.empty()) {
+    return Fail(ResultCode::kInvalidSettings, faults.Join());
+  }
+  return settings;
+}
+
+Result<Settings> LoadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return Fail(ResultCode::kInvalidSettings, path + ": cannot be read");
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str(), path);
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/config/settings.h
@@ -0,0 +1,76 @@
+// The settings of one VM, read from a TOML file. docs/SETTINGS.md is the
+// reference.
+
+#ifndef BRONZECROSS_CONFIG_SETTINGS_H_
+#define BRONZECROSS_CONFIG_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "base/net_address.h"
+
+namespace bronzecross {
+
+struct Settings {
+  // [vm]
+  std::string m_vm_id;
+  std::string m_availability_zone;
+  // The halves of the organisation that this VM serves; empty: all.
+  std::vector<std::string> m_halves;
+  // The folder for bulk data; empty: this VM keeps nothing.
+  std::string m_data_dir;
+  int64_t m_data_max_bytes = 0;
+
+  // [listen]
+  NetAddress m_http_address;
+  NetAddress m_peer_address;
+  NetAddress m_admin_address;
+  // Receives the bound addresses as JSON after start; empty: not written.
+  std::string m_port_file;
+
+  // [store]
+  std::vector<std::string> m_store_endpoints;
+  std::string m_store_prefix;
+  Millis m_store_timeout;
+  Millis m_vm_lease_ttl;
+
+  // [vm_list]
+  std::string m_vm_list_url;
+  Millis m_vm_list_poll;
+
+  // [http]
+  int64_t m_max_body_bytes = 0;
+  int64_t m_max_file_bytes = 0;
+  int64_t m_max_header_bytes = 0;
+  int64_t m_max_connections = 0;
+  Millis m_idle_timeout;
+
+  // [online]
+  Millis m_request_timeout;
+  int64_t m_max_queue = 0;
+
+  // [membership]
+  Millis m_heartbeat_interval;
+
+  // [drain]
+  Millis m_drain_notice;
+  Millis m_drain_timeout;
+
+  // [log]
+  Severity m_log_level = Severity::kInfo;
+  LogFormat m_log_format = LogFormat::kText;
+};
+
+// Parses `text`. Fails with kInvalidSettings and one line "file:line: reason"
+// for each fault; unknown keys, wrong types and values out of range are faults.
+Result<Settings> ParseSettings(std::string_view text, std::string_view file);
+
+Result<Settings> LoadSettings(const std::string& path);
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_CONFIG_SETTINGS_H_
--- /dev/null
+++ b/packages/config/toml_table.h
@@ -0,0 +1,69 @@
+// Reads one TOML table with checks. Each fault is recorded with file, line and
+// reason, so that one run reports every fault of a document.
+
+#ifndef BRONZECROSS_CONFIG_TOML_TABLE_H_
+#define BRONZECROSS_CONFIG_TOML_TABLE_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <toml++/toml.h>
+
+namespace bronzecross {
+
+// The faults of one document, each as "file:line: reason".
+class TomlFaults {
+ public:
+  explicit TomlFaults(std::string_view file) : m_file(file) {}
+
+  void Add(const toml::node& node, std::string_view reason);
+  void AddAtLine(uint32_t line, std::string_view reason);
+  bool empty() const { return m_faults.empty(); }
+  std::string Join() const;
+
+ private:
+  std::string m_file;
+  std::vector<std::string> m_faults;
+};
+
+class TomlTable {
+ public:
+  // `table` and `faults` must outlive this object.
+  TomlTable(const toml::table& table, TomlFaults& faults)
+      : m_table(table), m_faults(faults) {}
+
+  std::string RequireString(std::string_view name);
+  std::string GetString(std::string_view name, std::string_view fallback);
+  int64_t GetInt(std::string_view name,
+                 int64_t fallback,
+                 int64_t lowest,
+                 int64_t highest);
+  double GetDouble(std::string_view name,
+                   double fallback,
+                   double lowest,
+                   double highest);
+  bool GetBool(std::string_view name, bool fallback);
+  std::vector<std::string> GetStrings(std::string_view name);
+  // The table `name`, or an empty one.
+  const toml::table& GetTable(std::string_view name);
+  // The tables of the array `name`, or none.
+  std::vector<const toml::table*> GetTables(std::string_view name);
+
+  // Records each key that was never asked for as unknown.
+  void Finish();
+  void Fault(std::string_view name, std::string_view reason);
+
+ private:
+  const toml::node* Find(std::string_view name);
+
+  const toml::table& m_table;
+  TomlFaults& m_faults;
+  std::set<std::string, std::less<>> m_known;
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_CONFIG_TOML_TABLE_H_
--- /dev/null
+++ b/packages/http/cancel_token.h
@@ -0,0 +1,31 @@
+// Cancels an HTTP call from another thread.
+
+#ifndef BRONZECROSS_HTTP_CANCEL_TOKEN_H_
+#define BRONZECROSS_HTTP_CANCEL_TOKEN_H_
+
+#include <atomic>
+
+namespace bronzecross {
+
+class CancelToken {
+ public:
+  CancelToken();
+  ~CancelToken();
+  CancelToken(const CancelToken&) = delete;
+  CancelToken& operator=(const CancelToken&) = delete;
+
+  // Ends the calls that watch this token. Thread-safe; may be called twice.
+  void Cancel();
+  bool IsCancelled() const { return m_cancelled.load(); }
+
+  // Readable once cancelled.
+  int Fd() const { return m_fd; }
+
+ private:
+  std::atomic<bool> m_cancelled = false;
+  int m_fd;
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_HTTP_CANCEL_TOKEN_H_
--- /dev/null
+++ b/packages/http/http_server.cc
@@ -0,0 +1,307 @@
+#include "http/http_server.h"
+
+#include <microhttpd.h>
+#include <unistd.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include "base/log.h"
+#include "http/http_error_reply.h"
+
+namespace bronzecross {
+namespace {
+
+constexpr size_t kReplyBlockBytes = 16 * 1024;
+constexpr size_t kPostBufferBytes = 16 * 1024;
+constexpr size_t kMaxFormFieldBytes = 4096;
+constexpr std::string_view kSinkField = "file";
+
+}  // namespace
+
+// One request from its header to the end of its reply.
+struct HttpServer::Exchange {
+  HttpServer* m_server = nullptr;
+  HttpRequest m_request;
+  BodyPlan m_plan;
+  Status m_body_status;
+  int64_t m_body_bytes = 0;
+  bool m_too_large = false;
+  MHD_PostProcessor* m_post = nullptr;
+  BodyReader m_reader;
+};
+
+// The C callbacks of libmicrohttpd.
+struct HttpServer::Callbacks {
+  static MHD_Result AddHeader(void* out,
+                              MHD_ValueKind,
+                              const char* name,
+                              const char* value) {
+    static_cast<std::vector<HttpHeader>*>(out)->push_back(
+        {name, value != nullptr ? value : ""});
+    return MHD_YES;
+  }
+
+  static MHD_Result AddArgument(void* out,
+                                MHD_ValueKind,
+                                const char* name,
+                                const char* value) {
+    static_cast<std::map<std::string, std::string>*>(out)->emplace(
+        name, value != nullptr ? value : "");
+    return MHD_YES;
+  }
+
+  static MHD_Result OnFormField(void* self,
+                                MHD_ValueKind,
+                                const char* name,
+                                const char* file_name,
+                                const char*,
+                                const char*,
+                                const char* data,
+                                uint64_t,
+                                size_t size) {
+    Exchange& exchange = *static_cast<Exchange*>(self);
+    if (name == kSinkField) {
+      if (file_name != nullptr) {
+        exchange.m_request.m_file_name = file_name;
+      }
+      if (exchange.m_body_status) {
+        exchange.m_body_status = exchange.m_plan.m_sink({data, size});
+      }
+      return MHD_YES;
+    }
+    std::string& value = exchange.m_request.m_form[name];
+    if (value.size() + size > kMaxFormFieldBytes) {
+      exchange.m_body_status =
+          Fail(ResultCode::kMalformedBody, "a form field is too long");
+      return MHD_NO;
+    }
+    value.append(data, size);
+    return MHD_YES;
+  }
+
+  static Exchange* Begin(HttpServer* server,
+                         MHD_Connection* connection,
+                         const char* url,
+                         const char* method) {
+    Exchange* exchange = new Exchange;
+    exchange->m_server = server;
+    ++server->m_active;
+    HttpRequest& request = exchange->m_request;
+    request.m_method = method;
+    request.m_path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader,
+                              &request.m_headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AddArgument,
+                              &request.m_query);
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    request.m_client_fd = info != nullptr ? info->connect_fd : -1;
+    exchange->m_plan = server->m_handlers.m_plan(request);
+    return exchange;
+  }
+
+  // Returns a refusal that the header alone calls for.
+  static std::optional<HttpReply> RefuseEarly(Exchange& exchange) {
+    if (exchange.m_plan.m_refusal) {
+      return std::move(exchange.m_plan.m_refusal);
+    }
+    int64_t length = 0;
+    const std::string text(
+        FindHeader(exchange.m_request.m_headers, "Content-Length"));
+    if (absl::SimpleAtoi(text, &length) &&
+        length > exchange.m_plan.m_max_bytes) {
+      return TooLarge(exchange);
+    }
+    return std::nullopt;
+  }
+
+  static HttpReply TooLarge(const Exchange& exchange) {
+    return ErrorReply(
+        Fail(ResultCode::kBodyTooLarge,
+             absl::StrCat("the body is larger than the ",
+                          exchange.m_plan.m_max_bytes, " bytes allowed here"))
+            .value());
+  }
+
+  static void TakeBody(Exchange& exchange,
+                       MHD_Connection* connection,
+                       std::string_view piece) {
+    exchange.m_body_bytes += static_cast<int64_t>(piece.size());
+    if (exchange.m_body_bytes > exchange.m_plan.m_max_bytes) {
+      exchange.m_too_large = true;
+      return;
+    }
+    if (!exchange.m_plan.m_sink) {
+      exchange.m_request.m_body.append(piece);
+      return;
+    }
+    const std::string_view type =
+        FindHeader(exchange.m_request.m_headers, "Content-Type");
+    if (type.starts_with("multipart/form-data")) {
+      if (exchange.m_post == nullptr) {
+        exchange.m_post = MHD_create_post_processor(
+            connection, kPostBufferBytes, &OnFormField, &exchange);
+      }
+      if ((exchange.m_post == nullptr ||
+           MHD_post_process(exchange.m_post, piece.data(), piece.size()) !=
+               MHD_YES) &&
+          exchange.m_body_status) {
+        exchange.m_body_status =
+            Fail(ResultCode::kMalformedBody, "the multipart body is damaged");
+      }
+    } else if (exchange.m_body_status) {
+      exchange.m_body_status = exchange.m_plan.m_sink(piece);
+    }
+  }
+
+  static ssize_t OnReplyBody(void* self, uint64_t, char* buffer, size_t max) {
+    Exchange& exchange = *static_cast<Exchange*>(self);
+    const Result<size_t> count = exchange.m_reader({buffer, max});
+    if (!count) {
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    return *count == 0 ? MHD_CONTENT_READER_END_OF_STREAM
+                       : static_cast<ssize_t>(*count);
+  }
+
+  static MHD_Result Send(Exchange& exchange,
+                         MHD_Connection* connection,
+                         HttpReply reply) {
+    MHD_Response* response = nullptr;
+    if (reply.m_reader) {
+      exchange.m_reader = std::move(reply.m_reader);
+      response = MHD_create_response_from_callback(
+          MHD_SIZE_UNKNOWN, kReplyBlockBytes, &OnReplyBody, &exchange, nullptr);
+    } else {
+      response = MHD_create_response_from_buffer(
+          reply.m_body.size(), reply.m_body.data(), MHD_RESPMEM_MUST_COPY);
+    }
+    for (const HttpHeader& header : reply.m_headers) {
+      MHD_add_response_header(response, header.m_name.c_str(),
+                              header.m_value.c_str());
+    }
+    if (exchange.m_server->m_announce_close) {
+      MHD_add_response_header(response, "Connection", "close");
+    }
+    const MHD_Result queued = MHD_queue_response(
+        connection, static_cast<unsigned int>(reply.m_status), response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  static MHD_Result OnRequest(void* self,
+                              MHD_Connection* connection,
+                              const char* url,
+                              const char* method,
+                              const char*,
+                              const char* upload,
+                              size_t* upload_size,
+                              void** context) {
+    HttpServer* server = static_cast<HttpServer*>(self);
+    Exchange* exchange = static_cast<Exchange*>(*context);
+    if (exchange == nullptr) {
+      exchange = Begin(server, connection, url, method);
+      *context = exchange;
+      std::optional<HttpReply> refusal = RefuseEarly(*exchange);
+      return refusal ? Send(*exchange, connection, std::move(*refusal))
+                     : MHD_YES;
+    }
+    if (*upload_size > 0) {
+      TakeBody(*exchange, connection, {upload, *upload_size});
+      *upload_size = 0;
+      // An endless chunked body is cut; a little over the limit still gets a
+      // proper refusal.
+      return exchange->m_body_bytes > 2 * exchange->m_plan.m_max_bytes + 65536
+                 ? MHD_NO
+                 : MHD_YES;
+    }
+    if (exchange->m_post != nullptr) {
+      MHD_destroy_post_processor(exchange->m_post);
+      exchange->m_post = nullptr;
+    }
+    if (exchange->m_too_large) {
+      return Send(*exchange, connection, TooLarge(*exchange));
+    }
+    return Send(*exchange, connection,
+                server->m_handlers.m_handle(exchange->m_request,
+                                            exchange->m_body_status));
+  }
+
+  static void OnCompleted(void* self,
+                          MHD_Connection*,
+                          void** context,
+                          MHD_RequestTerminationCode) {
+    HttpServer* server = static_cast<HttpServer*>(self);
+    Exchange* exchange = static_cast<Exchange*>(*context);
+    if (exchange == nullptr) {
+      return;
+    }
+    if (exchange->m_post != nullptr) {
+      MHD_destroy_post_processor(exchange->m_post);
+    }
+    delete exchange;
+    *context = nullptr;
+    --server->m_active;
+  }
+};
+
+HttpServer::HttpServer(HttpServerOptions options, HttpHandlers handlers)
+    : m_options(std::move(options)), m_handlers(std::move(handlers)) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+Status HttpServer::Start() {
+  const Result<int> listener = ListenTcp(m_options.m_address, m_bound);
+  if (!listener) {
+    return tl::unexpected<Error>(listener.error());
+  }
+  m_listen_fd = *listener;
+  m_daemon = MHD_start_daemon(
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+          MHD_USE_POLL | MHD_USE_ITC,
+      0, nullptr, nullptr, &Callbacks::OnRequest, this,
+      MHD_OPTION_LISTEN_SOCKET, m_listen_fd, MHD_OPTION_NOTIFY_COMPLETED,
+      &Callbacks::OnCompleted, this, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      static_cast<size_t>(m_options.m_max_header_bytes) + 2 * kReplyBlockBytes,
+      MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned int>(m_options.m_max_connections),
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<unsigned int>(m_options.m_idle_timeout.count() / 1000),
+      MHD_OPTION_THREAD_STACK_SIZE, static_cast<size_t>(512 * 1024),
+      MHD_OPTION_END);
+  if (m_daemon == nullptr) {
+    close(m_listen_fd);
+    return Fail(ResultCode::kInternal, "cannot start the HTTP server");
+  }
+  m_listening = true;
+  return {};
+}
+
+void HttpServer::StopListening() {
+  if (m_daemon != nullptr && m_listening.exchange(false)) {
+    MHD_quiesce_daemon(m_daemon);
+    close(m_listen_fd);
+  }
+}
+
+void HttpServer::Stop() {
+  if (m_daemon == nullptr) {
+    return;
+  }
+  MHD_stop_daemon(m_daemon);
+  m_daemon = nullptr;
+  m_listening = false;
+}
+
+int HttpServer::OpenConnections() const {
+  const MHD_DaemonInfo* info =
+      m_daemon == nullptr
+          ? nullptr
+          : MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return info == nullptr ? 0 : static_cast<int>(info->num_connections);
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/http/http_test.cc
@@ -0,0 +1,109 @@
+#include <doctest/doctest.h>
+
+#include "http/http_client.h"
+#include "http/http_error_reply.h"
+#include "http/http_server.h"
+
+namespace bronzecross {
+namespace {
+
+constexpr int64_t kMaxBody = 1000;
+
+HttpServerOptions LocalOptions() {
+  HttpServerOptions options;
+  options.m_address = {"127.0.0.1", 0};
+  return options;
+}
+
+BodyPlan PlanBody(HttpRequest&) {
+  return BodyPlan{kMaxBody, nullptr, std::nullopt};
+}
+
+std::string Url(const HttpServer& server, std::string_view path) {
+  return "http://" + server.Address().ToString() + std::string(path);
+}
+
+}  // namespace
+
+TEST_CASE("a request's body comes back, a body over the limit is refused") {
+  HttpServer server(LocalOptions(),
+                    {PlanBody, [](HttpRequest& request, const Status&) {
+                       return JsonReply(200, request.m_body);
+                     }});
+  REQUIRE(server.Start().has_value());
+  HttpClient client;
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_url = Url(server, "/echo");
+  const std::string small(100, 'x');
+  call.m_body = small;
+  CHECK(client.Call(call)->m_body == small);
+  const std::string large(kMaxBody + 1, 'x');
+  call.m_body = large;
+  const Result<HttpAnswer> refused = client.Call(call);
+  REQUIRE(refused.has_value());
+  CHECK(refused->m_status == 413);
+  CHECK(FindHeader(refused->m_headers, kRunHeader) == "not_run");
+}
+
+// Guards against a cut stream that is taken for a whole answer.
+TEST_CASE("a reader that fails in mid-body gives the client an error") {
+  HttpServer server(
+      LocalOptions(),
+      {PlanBody, [](HttpRequest&, const Status&) {
+         HttpReply reply;
+         int calls = 0;
+         reply.m_reader =
+             [calls](std::span<char> buffer) mutable -> Result<size_t> {
+           if (++calls > 1) {
+             return Fail(ResultCode::kStreamCut, "cut");
+           }
+           buffer[0] = 'a';
+           return 1;
+         };
+         return reply;
+       }});
+  REQUIRE(server.Start().has_value());
+  HttpClient client;
+  HttpCall call;
+  call.m_url = Url(server, "/");
+  const Result<HttpAnswer> answer = client.Call(call);
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().m_run == RunState::kUnknown);
+}
+
+// Guards against a retry that is wrongly ruled out, or wrongly allowed.
+TEST_CASE("a refused connection counts as not run") {
+  NetAddress bound;
+  const Result<int> fd = ListenTcp({"127.0.0.1", 0}, bound);
+  REQUIRE(fd.has_value());
+  HttpCall call;
+  call.m_url = "http://" + bound.ToString();
+  call.m_timeout = Millis(200);
+  HttpClient client;
+  const Result<HttpAnswer> silent = client.Call(call);
+  REQUIRE_FALSE(silent.has_value());
+  CHECK(silent.error().m_run == RunState::kUnknown);
+  CHECK(silent.error().m_code == ResultCode::kDeadlineExceeded);
+  call.m_url = "http://127.0.0.1:1";
+  const Result<HttpAnswer> refused = client.Call(call);
+  REQUIRE_FALSE(refused.has_value());
+  CHECK(refused.error().m_run == RunState::kNotRun);
+}
+
+TEST_CASE("a cancelled call ends at once") {
+  NetAddress bound;
+  const Result<int> fd = ListenTcp({"127.0.0.1", 0}, bound);
+  REQUIRE(fd.has_value());
+  CancelToken cancel;
+  cancel.Cancel();
+  HttpCall call;
+  call.m_url = "http://" + bound.ToString();
+  call.m_cancel = &cancel;
+  HttpClient client;
+  const Result<HttpAnswer> answer = client.Call(call);
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().m_code == ResultCode::kCancelled);
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/limits/token_bucket_test.cc
@@ -0,0 +1,28 @@
+#include "limits/token_bucket.h"
+
+#include <doctest/doctest.h>
+
+namespace bronzecross {
+
+// Guards against admissions above rate x window + burst.
+TEST_CASE("no window admits more than rate and burst") {
+  TokenBucket bucket{10, Millis(0)};
+  int admitted = 0;
+  for (int64_t ms = 0; ms <= 2000; ++ms) {
+    Refill(bucket, 100, 10, Millis(ms));
+    admitted += TakeTokens(bucket, 1) ? 1 : 0;
+  }
+  CHECK(admitted <= 210);
+  CHECK(admitted >= 209);
+}
+
+TEST_CASE("a clock that stands still or goes back adds nothing") {
+  TokenBucket bucket{0, Millis(1000)};
+  Refill(bucket, 100, 10, Millis(500));
+  CHECK(bucket.m_tokens == 0);
+  Refill(bucket, 100, 10, Millis(1000));
+  CHECK(bucket.m_tokens == 0);
+  CHECK(TimeUntil(bucket, 100, 1) == Millis(10));
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/membership/rendezvous.h
@@ -0,0 +1,25 @@
+// Rendezvous hashing: all VMs rank the members for a key alike, and a change of
+// membership moves only the keys of the member concerned.
+
+#ifndef BRONZECROSS_MEMBERSHIP_RENDEZVOUS_H_
+#define BRONZECROSS_MEMBERSHIP_RENDEZVOUS_H_
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "membership/member.h"
+
+namespace bronzecross {
+
+// The ids of `members`, first choice for `key` first.
+std::vector<std::string> RankMembers(std::string_view key,
+                                     std::span<const Member> members);
+
+// The first choice for `key`; empty if there are no members.
+std::string FirstMember(std::string_view key, std::span<const Member> members);
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_MEMBERSHIP_RENDEZVOUS_H_
--- /dev/null
+++ b/packages/peers/message.cc
@@ -0,0 +1,22 @@
+#include "peers/message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bronzecross {
+
+std::string EncodeMessage(const nlohmann::json& message) {
+  std::string bytes;
+  nlohmann::json::to_msgpack(message, bytes);
+  return bytes;
+}
+
+Result<nlohmann::json> DecodeMessage(std::string_view bytes) {
+  nlohmann::json message =
+      nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  if (message.is_discarded()) {
+    return Fail(ResultCode::kMalformedBody, "the peer message is damaged");
+  }
+  return message;
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/programs/bronzecross/daemon.cc
@@ -0,0 +1,167 @@
+#include "daemon.h"
+
+#include <cstdio>
+#include <fstream>
+
+#include <absl/strings/str_cat.h>
+
+#include "admin_server.h"
+#include "base/log.h"
+#include "peers/h2_socket.h"
+#include "request_router.h"
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kDrainPoll{20};
+
+MembershipOptions MakeMembershipOptions(const Settings& settings) {
+  MembershipOptions options;
+  options.m_self.m_id = settings.m_vm_id;
+  options.m_self.m_availability_zone = settings.m_availability_zone;
+  options.m_self.m_incarnation = WallNow().count();
+  options.m_self.m_has_data_dir = !settings.m_data_dir.empty();
+  options.m_vm_list_url = settings.m_vm_list_url;
+  options.m_vm_list_poll = settings.m_vm_list_poll;
+  options.m_heartbeat_interval = settings.m_heartbeat_interval;
+  return options;
+}
+
+HttpServerOptions MakeCallerOptions(const Settings& settings) {
+  HttpServerOptions options;
+  options.m_address = settings.m_http_address;
+  options.m_max_header_bytes = settings.m_max_header_bytes;
+  options.m_max_connections = settings.m_max_connections;
+  options.m_idle_timeout = settings.m_idle_timeout;
+  return options;
+}
+
+HttpServerOptions MakeAdminOptions(const Settings& settings) {
+  HttpServerOptions options;
+  options.m_address = settings.m_admin_address;
+  options.m_max_connections = 64;
+  return options;
+}
+
+}  // namespace
+
+Daemon::Daemon(const Settings& settings)
+    : m_settings(settings),
+      m_store(settings.m_store_endpoints, settings.m_store_timeout),
+      m_peer_server(settings.m_peer_address),
+      m_membership(MakeMembershipOptions(settings),
+                   m_peer_server,
+                   m_peer_client),
+      m_limiter(m_membership),
+      m_upstreams(m_config, m_membership, m_http, settings.m_halves),
+      m_online(m_config,
+               m_limiter,
+               m_upstreams,
+               m_http,
+               settings.m_request_timeout),
+      m_batch(m_config, m_store, m_upstreams, m_http, settings.m_store_prefix),
+      m_config_follower(m_config,
+                        m_store,
+                        settings.m_store_prefix + "manifest"),
+      m_caller_server(MakeCallerOptions(settings),
+                      MakeCallerHandlers(m_settings, m_online, m_batch)),
+      m_admin_server(MakeAdminOptions(settings),
+                     MakeAdminHandlers({[this] { return IsReady(); },
+                                        [this] { return MakeStatus(); }})) {}
+
+Status Daemon::Start() {
+  for (const Status& started : {m_peer_server.Start(), m_caller_server.Start(),
+                                m_admin_server.Start()}) {
+    if (!started) {
+      return started;
+    }
+  }
+  m_config_follower.Start();
+  m_membership.Start();
+  m_upstreams.Start();
+  const json record = {{"id", m_settings.m_vm_id},
+                       {"zone", m_settings.m_availability_zone},
+                       {"incarnation", m_membership.Self().m_incarnation},
+                       {"peer", m_peer_server.Address().ToString()},
+                       {"admin", m_admin_server.Address().ToString()}};
+  m_vm_lease = std::make_unique<VmLease>(
+      m_store,
+      absl::StrCat(m_settings.m_store_prefix, "vms/", m_settings.m_vm_id),
+      record.dump(), m_settings.m_vm_lease_ttl);
+  m_vm_lease->Start();
+  Log(Severity::kInfo, LogPart::kMain, "Started.",
+      {{"vm", m_settings.m_vm_id},
+       {"zone", m_settings.m_availability_zone},
+       {"http", m_caller_server.Address().ToString()},
+       {"peer", m_peer_server.Address().ToString()},
+       {"admin", m_admin_server.Address().ToString()}});
+  return WritePortFile();
+}
+
+Status Daemon::WritePortFile() const {
+  if (m_settings.m_port_file.empty()) {
+    return {};
+  }
+  const json ports = {{"http", m_caller_server.Address().m_port},
+                      {"peer", m_peer_server.Address().m_port},
+                      {"admin", m_admin_server.Address().m_port}};
+  // Renamed into place, so that a reader never sees half of it.
+  const std::string unfinished = m_settings.m_port_file + ".new";
+  {
+    std::ofstream file(unfinished);
+    file << ports.dump() << "\n";
+  }
+  if (std::rename(unfinished.c_str(), m_settings.m_port_file.c_str()) != 0) {
+    return Fail(ResultCode::kInvalidSettings,
+                absl::StrCat("cannot write ", m_settings.m_port_file));
+  }
+  return {};
+}
+
+bool Daemon::IsReady() const {
+  return !m_draining && m_config.Get()->Generation() > 0;
+}
+
+json Daemon::MakeStatus() const {
+  json live = json::array();
+  for (const Member& member : m_membership.Live()) {
+    live.push_back(member.m_id);
+  }
+  return {{"vm", m_settings.m_vm_id},
+          {"zone", m_settings.m_availability_zone},
+          {"ready", IsReady()},
+          {"draining", m_draining.load()},
+          {"generation", m_config.Get()->Generation()},
+          {"live", live},
+          {"lease_held", m_vm_lease != nullptr && m_vm_lease->IsHeld()},
+          {"store_calls", m_store.Calls()},
+          {"peer_bytes", PeerBytesTotal()},
+          {"active_requests", m_caller_server.ActiveRequests()}};
+}
+
+void Daemon::Drain() {
+  Log(Severity::kInfo, LogPart::kMain, "Draining.",
+      {{"active", m_caller_server.ActiveRequests()}});
+  m_draining = true;
+  m_membership.SetDraining();
+  m_caller_server.AnnounceClose();
+  SleepFor(m_settings.m_drain_notice);
+  m_caller_server.StopListening();
+  const Millis deadline = MonotonicNow() + m_settings.m_drain_timeout;
+  while (m_caller_server.ActiveRequests() > 0 && MonotonicNow() < deadline) {
+    SleepFor(kDrainPoll);
+  }
+  m_caller_server.Stop();
+  m_batch.Stop();
+  m_vm_lease->Stop();
+  m_config_follower.Stop();
+  m_upstreams.Stop();
+  m_membership.Stop();
+  m_peer_server.Stop();
+  m_admin_server.Stop();
+  Log(Severity::kInfo, LogPart::kMain, "Stopped.");
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/programs/bronzecross/daemon.h
@@ -0,0 +1,63 @@
+// The parts of one VM's daemon, put together, from start to drain.
+
+#ifndef BRONZECROSS_PROGRAMS_BRONZECROSS_DAEMON_H_
+#define BRONZECROSS_PROGRAMS_BRONZECROSS_DAEMON_H_
+
+#include <atomic>
+#include <memory>
+
+#include <nlohmann/json.hpp>
+
+#include "batch/batch_service.h"
+#include "config/config_holder.h"
+#include "config/settings.h"
+#include "config_follower.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "limits/limiter.h"
+#include "membership/membership.h"
+#include "online/online_service.h"
+#include "peers/peer_client.h"
+#include "peers/peer_server.h"
+#include "store/kv_client.h"
+#include "upstreams/upstream_registry.h"
+#include "vm_lease.h"
+
+namespace bronzecross {
+
+class Daemon {
+ public:
+  explicit Daemon(const Settings& settings);
+
+  Status Start();
+  // Shuts down gracefully: readiness fails, the listener stays for the notice
+  // time, requests under way end, then the parts stop.
+  void Drain();
+
+ private:
+  Status WritePortFile() const;
+  bool IsReady() const;
+  nlohmann::json MakeStatus() const;
+
+  const Settings m_settings;
+  std::atomic<bool> m_draining = false;
+  ConfigHolder m_config;
+  HttpClient m_http;
+  KvClient m_store;
+  PeerServer m_peer_server;
+  PeerClient m_peer_client;
+  Membership m_membership;
+  Limiter m_limiter;
+  UpstreamRegistry m_upstreams;
+  OnlineService m_online;
+  BatchService m_batch;
+  ConfigFollower m_config_follower;
+  // Made in Start(), as its record holds the bound addresses.
+  std::unique_ptr<VmLease> m_vm_lease;
+  HttpServer m_caller_server;
+  HttpServer m_admin_server;
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_PROGRAMS_BRONZECROSS_DAEMON_H_
--- /dev/null
+++ b/programs/bronzecross/main.cc
@@ -0,0 +1,41 @@
+// The daemon that runs on each entry VM.
+
+#include <cstdio>
+
+#include "base/log.h"
+#include "command_line.h"
+#include "config/settings.h"
+#include "daemon.h"
+#include "drain_signal.h"
+
+int main(int argc, const char** argv) {
+  const bronzecross::CommandLine line =
+      bronzecross::ParseCommandLine(argc, argv);
+  if (line.m_version) {
+    std::puts("bronzecross " BRONZECROSS_VERSION);
+    return 0;
+  }
+  const bronzecross::Result<bronzecross::Settings> settings =
+      bronzecross::LoadSettings(line.m_settings_path);
+  if (!settings) {
+    std::fprintf(stderr, "%s\n", settings.error().m_message.c_str());
+    return 2;
+  }
+  if (line.m_check) {
+    std::printf("%s: ok\n", line.m_settings_path.c_str());
+    return 0;
+  }
+  bronzecross::BlockDrainSignals();
+  bronzecross::InitLog(settings->m_log_level, settings->m_log_format);
+  bronzecross::Daemon daemon(*settings);
+  const bronzecross::Status started = daemon.Start();
+  if (!started) {
+    bronzecross::LogError(bronzecross::Severity::kError,
+                          bronzecross::LogPart::kMain, "Cannot start.",
+                          started.error());
+    return 1;
+  }
+  bronzecross::WaitForDrainSignal();
+  daemon.Drain();
+  return 0;
+}
--- /dev/null
+++ b/programs/bronzecross/request_router.h
@@ -0,0 +1,20 @@
+// Directs callers' requests to the service that answers them.
+
+#ifndef BRONZECROSS_PROGRAMS_BRONZECROSS_REQUEST_ROUTER_H_
+#define BRONZECROSS_PROGRAMS_BRONZECROSS_REQUEST_ROUTER_H_
+
+#include "batch/batch_service.h"
+#include "config/settings.h"
+#include "http/http_server.h"
+#include "online/online_service.h"
+
+namespace bronzecross {
+
+// The services must outlive the handlers.
+HttpHandlers MakeCallerHandlers(const Settings& settings,
+                                OnlineService& online,
+                                BatchService& batch);
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_PROGRAMS_BRONZECROSS_REQUEST_ROUTER_H_
