--- a/tests/measure/measure_overhead.cc
+++ b/tests/measure/measure_overhead.cc
@@ -15,8 +15,6 @@
 constexpr int kRequests = 2000;
 constexpr int kWarmUp = 100;
 
-}  // namespace
-
 int MeasureOverhead(uint64_t) {
   ClusterOptions options;
   options.m_rate_per_s = 1e6;
@@ -62,4 +60,7 @@
   return 0;
 }
 
+const MeasurementRegistration kRegistration("overhead", MeasureOverhead);
+
+}  // namespace
 }  // namespace bronzecross
--- a/tests/measure/measurement.h
+++ b/tests/measure/measurement.h
@@ -5,10 +5,22 @@
 #define BRONZECROSS_TESTS_MEASURE_MEASUREMENT_H_
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace bronzecross {
 
-int MeasureOverhead(uint64_t seed);
+using MeasureFunction = int (*)(uint64_t seed);
+
+// All registered measurements by name.
+std::map<std::string, MeasureFunction>& Measurements();
+
+// Registers a measurement from a namespace-scope object in its own source file.
+struct MeasurementRegistration {
+  MeasurementRegistration(const char* name, MeasureFunction function) {
+    Measurements()[name] = function;
+  }
+};
 
 }  // namespace bronzecross
 
