--- /dev/null
+++ b/tests/hostile/raw_socket.cc
@@ -0,0 +1,46 @@
+#include "hostile/raw_socket.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace bronzecross {
+
+std::string SendRaw(const NetAddress& server,
+                    std::string_view bytes,
+                    Millis timeout) {
+  std::string answer;
+  const Result<int> fd = ConnectTcp(server, timeout);
+  if (!fd) {
+    return answer;
+  }
+  const Millis deadline = MonotonicNow() + timeout;
+  while (!bytes.empty()) {
+    const ssize_t sent = send(*fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) {
+      break;
+    }
+    bytes.remove_prefix(static_cast<size_t>(sent));
+  }
+  shutdown(*fd, SHUT_WR);
+  std::array<char, 4096> block;
+  while (MonotonicNow() < deadline) {
+    pollfd entry = {*fd, POLLIN, 0};
+    const Millis left = std::max(deadline - MonotonicNow(), Millis(0));
+    if (poll(&entry, 1, static_cast<int>(left.count())) <= 0) {
+      break;
+    }
+    const ssize_t got = recv(*fd, block.data(), block.size(), 0);
+    if (got <= 0) {
+      break;
+    }
+    answer.append(block.data(), static_cast<size_t>(got));
+  }
+  close(*fd);
+  return answer;
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/tests/hostile/raw_socket.h
@@ -0,0 +1,21 @@
+// Sends raw bytes to a server and reads what comes back.
+
+#ifndef BRONZECROSS_TESTS_HOSTILE_RAW_SOCKET_H_
+#define BRONZECROSS_TESTS_HOSTILE_RAW_SOCKET_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/net_address.h"
+
+namespace bronzecross {
+
+// Connects, sends `bytes`, ends the sending side and reads until the server
+// closes, at most for `timeout`.
+std::string SendRaw(const NetAddress& server,
+                    std::string_view bytes,
+                    Millis timeout);
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_TESTS_HOSTILE_RAW_SOCKET_H_
