--- a/packages/config/manifest.h
+++ b/packages/config/manifest.h
@@ -82,6 +82,8 @@
 struct Manifest {
   // Rises by one with each publication; zero: nothing published yet.
   int64_t m_generation = 0;
+  // The generation that last changed which half an upstream belongs to.
+  int64_t m_halves_generation = 0;
   std::vector<std::string> m_halves;
   std::vector<WorkspaceSpec> m_workspaces;
   std::vector<KeySpec> m_keys;
@@ -101,6 +103,9 @@
 
 Result<Manifest> LoadManifest(const std::string& path);
 
+// Numbers `next` as the successor of `in_force`.
+void NumberSuccessor(const Manifest& in_force, Manifest& next);
+
 nlohmann::json ManifestToJson(const Manifest& manifest);
 
 // Fails with kInvalidManifest on a missing field or a wrong type.
--- a/packages/config/manifest_json.cc
+++ b/packages/config/manifest_json.cc
@@ -116,6 +116,7 @@
 
 json ManifestToJson(const Manifest& manifest) {
   return json{{"generation", manifest.m_generation},
+              {"halves_generation", manifest.m_halves_generation},
               {"halves", manifest.m_halves},
               {"workspaces", ListToJson(manifest.m_workspaces)},
               {"keys", ListToJson(manifest.m_keys)},
@@ -129,6 +130,7 @@
   Manifest out;
   try {
     in.at("generation").get_to(out.m_generation);
+    in.at("halves_generation").get_to(out.m_halves_generation);
     in.at("halves").get_to(out.m_halves);
     ListFromJson(in.at("workspaces"), out.m_workspaces);
     ListFromJson(in.at("keys"), out.m_keys);
--- a/packages/config/manifest_test.cc
+++ b/packages/config/manifest_test.cc
@@ -72,6 +72,23 @@
         std::string::npos);
 }
 
+// Guards against a hand-over that is not noticed, or one that is waited for
+// though nothing moved.
+TEST_CASE("only a change of an upstream's half counts as a new split") {
+  Manifest first = *ParseManifestToml(kManifest, "m.toml");
+  NumberSuccessor(Manifest{}, first);
+  CHECK(first.m_generation == 1);
+  CHECK(first.m_halves_generation == 0);
+  Manifest second = first;
+  NumberSuccessor(first, second);
+  CHECK(second.m_halves_generation == 0);
+  Manifest third = second;
+  third.m_upstreams[0].m_half = "south";
+  NumberSuccessor(second, third);
+  CHECK(third.m_generation == 3);
+  CHECK(third.m_halves_generation == 3);
+}
+
 TEST_CASE("damaged JSON from the store is refused") {
   CHECK_FALSE(ParseManifestJson("{").has_value());
   CHECK_FALSE(ParseManifestJson("[]").has_value());
--- a/packages/store/kv_client.cc
+++ b/packages/store/kv_client.cc
@@ -154,7 +154,9 @@
   json operations = json::array();
   for (const KvWrite& write : writes) {
     comparisons.push_back(ToComparison(write));
-    operations.push_back(ToOperation(write));
+    if (!write.m_check_only) {
+      operations.push_back(ToOperation(write));
+    }
   }
   const Result<json> answer =
       Post("/v3/kv/txn", {{"compare", comparisons}, {"success", operations}});
@@ -179,7 +181,7 @@
   // A transaction takes effect as a whole, so the first set key tells.
   const KvWrite* probe = nullptr;
   for (const KvWrite& write : writes) {
-    if (!write.m_delete) {
+    if (!write.m_delete && !write.m_check_only) {
       probe = &write;
       break;
     }
--- a/packages/store/kv_client.h
+++ b/packages/store/kv_client.h
@@ -39,6 +39,8 @@
   int64_t m_lease = 0;
   // Deletes the key in place of setting it.
   bool m_delete = false;
+  // Only checks the revision and changes nothing.
+  bool m_check_only = false;
 };
 
 struct KvLease {
--- a/programs/bronzecross/vm_lease.h
+++ b/programs/bronzecross/vm_lease.h
@@ -23,6 +23,8 @@
 
   // Whether the lease holds, by this VM's own clock.
   bool IsHeld() const;
+  // The end of the lease by this VM's own clock; zero if there is none.
+  Millis Expires() const;
 
  private:
   void Run();
--- a/programs/bronzecrossctl/commands.cc
+++ b/programs/bronzecrossctl/commands.cc
@@ -69,7 +69,7 @@
                         const CtlOptions& options,
                         Manifest manifest,
                         const InForce& before) {
-  manifest.m_generation = before.m_manifest.m_generation + 1;
+  NumberSuccessor(before.m_manifest, manifest);
   json document = ManifestToJson(manifest);
   // Tells this publication from another one with the same content when the
   // answer is lost and the key is read back.
@@ -140,6 +140,7 @@
     return PrintError(before.error());
   }
   manifest->m_generation = before->m_manifest.m_generation;
+  manifest->m_halves_generation = before->m_manifest.m_halves_generation;
   const json patch =
       json::diff(ManifestToJson(before->m_manifest), ManifestToJson(*manifest));
   for (const json& step : patch) {
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -73,6 +73,7 @@
 
 EngineStandin::EngineStandin(EngineOptions options)
     : m_options(std::move(options)),
+      m_version(m_options.m_version),
       m_server([this](HttpRequest& request) { return Handle(request); }) {
   m_server.Start();
   m_crash_thread = std::thread([this] {
@@ -159,6 +160,26 @@
   return m_peak;
 }
 
+std::string EngineStandin::Version() {
+  absl::MutexLock lock(&m_mutex);
+  return m_version;
+}
+
+bool EngineStandin::IsLoading() {
+  absl::MutexLock lock(&m_mutex);
+  return MonotonicNow() < m_loading_until;
+}
+
+int64_t EngineStandin::RefusedWhileLoading() {
+  absl::MutexLock lock(&m_mutex);
+  return m_refused;
+}
+
+std::map<std::string, Millis> EngineStandin::LastRequestByVm() {
+  absl::MutexLock lock(&m_mutex);
+  return m_last_by_vm;
+}
+
 std::vector<EngineStandin::Order> EngineStandin::Orders() {
   absl::MutexLock lock(&m_mutex);
   return m_orders;
@@ -171,8 +192,8 @@
   if (request.m_path == "/health") {
     return JsonReply(200, "{}");
   }
-  if (request.m_path == "/orders" && request.m_method == "POST") {
-    return TakeOrder(request);
+  if (request.m_path == "/orders") {
+    return request.m_method == "POST" ? TakeOrder(request) : ReportOrders();
   }
   if (request.m_path == "/v1/models") {
     json models = json::array();
@@ -221,11 +242,24 @@
   order.m_accepted =
       !m_options.m_checks_fencing || order.m_fencing_token >= m_highest_token;
   m_highest_token = std::max(m_highest_token, order.m_fencing_token);
+  order.m_action = body.value("action", "");
+  if (order.m_accepted && order.m_action == "load") {
+    m_version = body.value("version", "");
+    m_loading_until = order.m_at + m_options.m_load_time;
+  }
   return order.m_accepted
              ? JsonReply(200, "{}")
              : JsonReply(409, R"({"error":{"message":"old token"}})");
 }
 
+HttpReply EngineStandin::ReportOrders() {
+  absl::MutexLock lock(&m_mutex);
+  return JsonReply(200, json{{"model", m_options.m_models.front()},
+                             {"version", m_version},
+                             {"loading", MonotonicNow() < m_loading_until}}
+                            .dump());
+}
+
 bool EngineStandin::Begin(int client_fd) {
   absl::MutexLock lock(&m_mutex);
   ++m_started;
@@ -311,6 +345,18 @@
       m_options.m_models.end()) {
     return JsonReply(404, R"({"error":{"message":"no such model"}})");
   }
+  {
+    absl::MutexLock lock(&m_mutex);
+    const Millis now = MonotonicNow();
+    m_last_by_vm[std::string(FindHeader(request.m_headers, "Via"))] = now;
+    if (now < m_loading_until) {
+      ++m_refused;
+      HttpReply reply =
+          JsonReply(503, R"({"error":{"message":"the model is loading"}})");
+      reply.m_headers.push_back({"Retry-After", "1"});
+      return reply;
+    }
+  }
   const std::string prompt = PromptOf(body);
   if (prompt.find(kCrashMark) != std::string::npos) {
     absl::MutexLock lock(&m_mutex);
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -32,6 +32,10 @@
   Millis m_report_lag{500};
   size_t m_cached_prefixes = 64;
   bool m_checks_fencing = true;
+  // The version that is loaded at the start, and the time that a load takes.
+  // While loading the engine answers 503.
+  std::string m_version = "v1";
+  Millis m_load_time{300};
 };
 
 // A prompt with this text makes the engine crash.
@@ -49,6 +53,7 @@
   struct Order {
     int64_t m_fencing_token = 0;
     std::string m_issuer;
+    std::string m_action;
     bool m_accepted = false;
     Millis m_at;
   };
@@ -73,11 +78,18 @@
   // Largest number of batch or online requests held at once.
   int64_t PeakLoad();
   std::vector<Order> Orders();
+  std::string Version();
+  bool IsLoading();
+  // Requests answered 503 because of a load.
+  int64_t RefusedWhileLoading();
+  // When the last request that came through each VM began, by the Via header.
+  std::map<std::string, Millis> LastRequestByVm();
 
  private:
   HttpReply Handle(HttpRequest& request);
   HttpReply Complete(const HttpRequest& request);
   HttpReply TakeOrder(const HttpRequest& request);
+  HttpReply ReportOrders();
   HttpReply Report();
   // Waits for a slot. Returns false if the caller hung up.
   bool Begin(int client_fd);
@@ -99,6 +111,10 @@
   std::deque<uint64_t> m_prefixes ABSL_GUARDED_BY(m_mutex);
   std::vector<Order> m_orders ABSL_GUARDED_BY(m_mutex);
   int64_t m_highest_token ABSL_GUARDED_BY(m_mutex) = 0;
+  std::string m_version ABSL_GUARDED_BY(m_mutex);
+  Millis m_loading_until ABSL_GUARDED_BY(m_mutex);
+  int64_t m_refused ABSL_GUARDED_BY(m_mutex) = 0;
+  std::map<std::string, Millis> m_last_by_vm ABSL_GUARDED_BY(m_mutex);
   // The load as it was at the last sample.
   int64_t m_sampled_running ABSL_GUARDED_BY(m_mutex) = 0;
   int64_t m_sampled_waiting ABSL_GUARDED_BY(m_mutex) = 0;
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -143,7 +143,8 @@
   if (!entry) {
     Abort(entry.error().m_message);
   }
-  ++m_manifest.m_generation;
+  NumberSuccessor(m_published, m_manifest);
+  m_published = m_manifest;
   json document = ManifestToJson(m_manifest);
   document["writer"] = RandomId();
   const Result<int64_t> written =
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -103,6 +103,7 @@
   std::vector<std::unique_ptr<EngineStandin>> m_engines;
   std::vector<std::unique_ptr<ServiceStandin>> m_services;
   Manifest m_manifest;
+  Manifest m_published;
   KvClient m_kv_client;
   TestCaller m_caller;
   std::vector<std::unique_ptr<VmSlot>> m_vms;
