--- a/tests/harness/caller.cc
+++ b/tests/harness/caller.cc
@@ -99,6 +99,7 @@
     }
     done = true;
   }
+  outcome.m_whole = done;
   outcome.m_correct =
       done && text == EngineAnswer(request.m_prompt, request.m_tokens);
   return outcome;
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -27,6 +27,8 @@
   int m_status = 0;
   // Whether the text is exactly the engine's answer to this prompt.
   bool m_correct = false;
+  // Whether the answer ended as a whole one, right or wrong.
+  bool m_whole = false;
   // "not_run", "unknown" or empty.
   std::string m_run;
   std::string m_error_code;
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -138,22 +138,42 @@
 }
 
 int64_t Cluster::Publish() {
+  const Result<int64_t> published = TryPublish();
+  if (!published) {
+    Abort(published.error().m_message);
+  }
+  return *published;
+}
+
+Result<int64_t> Cluster::TryPublish() {
   const Result<std::optional<KvEntry>> entry =
       m_kv_client.Get("/bronzecross/manifest");
   if (!entry) {
-    Abort(entry.error().m_message);
+    return tl::unexpected<Error>(entry.error());
   }
-  NumberSuccessor(m_published, m_manifest);
-  m_published = m_manifest;
-  json document = ManifestToJson(m_manifest);
+  Manifest next = m_manifest;
+  NumberSuccessor(m_published, next);
+  json document = ManifestToJson(next);
   document["writer"] = RandomId();
   const Result<int64_t> written =
       m_kv_client.Commit({{"/bronzecross/manifest", document.dump(),
                            *entry ? (*entry)->m_mod_revision : 0}});
   if (!written) {
-    Abort(written.error().m_message);
+    return tl::unexpected<Error>(written.error());
+  }
+  m_manifest = next;
+  m_published = next;
+  return next.m_generation;
+}
+
+void Cluster::AdoptPublished() {
+  const Result<Manifest> stored =
+      ParseManifestJson(m_kv.Get("/bronzecross/manifest"));
+  if (stored) {
+    m_manifest.m_generation = stored->m_generation;
+    m_manifest.m_halves_generation = stored->m_halves_generation;
+    m_published = m_manifest;
   }
-  return m_manifest.m_generation;
 }
 
 std::string Cluster::Url(int vm) const {
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -58,7 +58,9 @@
   VmListStandin& VmList() { return m_vm_list; }
   EngineStandin& Engine(size_t index) { return *m_engines[index]; }
   ServiceStandin& Service(size_t index) { return *m_services[index]; }
+  size_t EngineCount() const { return m_engines.size(); }
   TestCaller& Caller() { return m_caller; }
+  KvClient& Store() { return m_kv_client; }
   ChildProcess& Vm(int vm) { return m_vms[vm]->m_process; }
   // Only with m_proxies.
   FaultProxy& PeerProxy(int viewer, int target);
@@ -66,8 +68,13 @@
 
   // The manifest to publish; change it, then call Publish().
   Manifest& GetManifest() { return m_manifest; }
-  // Returns the new generation.
+  // Returns the new generation; aborts if the store can't be written.
   int64_t Publish();
+  // The same, but returns the error; the manifest stays unpublished then.
+  Result<int64_t> TryPublish();
+  // Takes the numbering of the manifest in the store, after somebody else
+  // published the same content.
+  void AdoptPublished();
 
   // Starts a VM that was killed or ended, as a new incarnation on new ports.
   void StartVm(int vm);
