Replicate ledgers over the data VMs

Peer methods that only use the disk have their own worker threads, as waiting for another VM's disk could otherwise use up the threads that VM waits for.

--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -100,6 +100,29 @@
   table.Finish();
 }
 
+void ReadLedger(TomlTable& root, TomlFaults& faults, Settings& out) {
+  TomlTable ledger(root.GetTable("ledger"), faults);
+  out.m_ledger_copy_timeout =
+      GetMillis(ledger, "copy_timeout_ms", 2000, 50, 60'000);
+  out.m_ledger_append_timeout =
+      GetMillis(ledger, "append_timeout_ms", 8000, 100, 600'000);
+  out.m_ledger_repair_bytes_per_s =
+      ledger.GetInt("repair_bytes_per_s", 8 * kMiB, 1024, 65536 * kMiB);
+  out.m_ledger_repair_interval =
+      GetMillis(ledger, "repair_interval_ms", 5000, 100, 3'600'000);
+  out.m_ledger_repair_after =
+      GetMillis(ledger, "repair_after_ms", 30'000, 500, 86'400'000);
+  ledger.Finish();
+  TomlTable receipts(root.GetTable("receipts"), faults);
+  out.m_receipt_keep = GetMillis(receipts, "keep_ms", 24 * 3'600'000, 1000,
+                                 int64_t{30} * 24 * 3'600'000);
+  out.m_receipt_max_entries =
+      receipts.GetInt("max_entries_per_shard", 200'000, 10, 10'000'000);
+  out.m_receipt_memory_bytes =
+      receipts.GetInt("memory_bytes", 64 * kMiB, kMiB, 65536 * kMiB);
+  receipts.Finish();
+}
+
 void ReadTimes(TomlTable& root, TomlFaults& faults, Settings& out) {
   TomlTable online(root.GetTable("online"), faults);
   out.m_request_timeout =
@@ -131,6 +154,7 @@
     ReadHttp(root.GetTable("http"), faults, settings);
     ReadLog(root.GetTable("log"), faults, settings);
     ReadTimes(root, faults, settings);
+    ReadLedger(root, faults, settings);
     root.Finish();
   } catch (const toml::parse_error& error) {
     faults.AddAtLine(error.source().begin.line, error.description());
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -56,6 +56,18 @@
   // [membership]
   Millis m_heartbeat_interval;
 
+  // [ledger]
+  Millis m_ledger_copy_timeout;
+  Millis m_ledger_append_timeout;
+  int64_t m_ledger_repair_bytes_per_s = 0;
+  Millis m_ledger_repair_interval;
+  Millis m_ledger_repair_after;
+
+  // [receipts]
+  Millis m_receipt_keep;
+  int64_t m_receipt_max_entries = 0;
+  int64_t m_receipt_memory_bytes = 0;
+
   // [drain]
   Millis m_drain_notice;
   Millis m_drain_timeout;
--- a/packages/ledger/ledger_record.cc
+++ b/packages/ledger/ledger_record.cc
@@ -59,4 +59,26 @@
   return LedgerRecord{header.m_sequence, header.m_epoch, std::string(payload)};
 }
 
+bool IsTornRecord(std::string_view bytes) {
+  Header header;
+  if (bytes.size() >= sizeof(header)) {
+    std::memcpy(&header, bytes.data(), sizeof(header));
+    if (header.m_magic != kMagic || header.m_length > kMaxRecordBytes ||
+        bytes.size() - sizeof(header) >= header.m_length) {
+      return false;
+    }
+  }
+  // A damaged length also points beyond the end, but whole records follow it.
+  const std::string_view magic(reinterpret_cast<const char*>(&kMagic),
+                               sizeof(kMagic));
+  for (size_t at = bytes.find(magic, sizeof(header));
+       at != std::string_view::npos; at = bytes.find(magic, at + 1)) {
+    std::string_view later = bytes.substr(at + sizeof(kMagic) - sizeof(header));
+    if (TakeRecord(later)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace bronzecross
--- a/packages/ledger/ledger_record.h
+++ b/packages/ledger/ledger_record.h
@@ -28,6 +28,10 @@
 // kCorrupt if the record is torn or damaged; `bytes` is unchanged then.
 Result<LedgerRecord> TakeRecord(std::string_view& bytes);
 
+// Whether `bytes` is the beginning of a record that ends beyond them, as a
+// crash in mid-write leaves it.
+bool IsTornRecord(std::string_view bytes);
+
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_LEDGER_LEDGER_RECORD_H_
--- a/packages/peers/peer_server.cc
+++ b/packages/peers/peer_server.cc
@@ -14,7 +14,8 @@
 namespace bronzecross {
 namespace {
 
-constexpr int kWorkerThreads = 32;
+constexpr int kWorkerThreads = 64;
+constexpr int kDiskThreads = 16;
 constexpr size_t kMaxQueuedWork = 4096;
 
 }  // namespace
@@ -50,6 +51,7 @@
   }
   m_listen_fd = *listener;
   m_workers = std::make_unique<WorkerPool>(kWorkerThreads, kMaxQueuedWork);
+  m_disk_workers = std::make_unique<WorkerPool>(kDiskThreads, kMaxQueuedWork);
   m_accept_thread = std::thread([this] { Accept(); });
   return {};
 }
@@ -112,6 +114,7 @@
     connection->m_thread.join();
   }
   m_workers.reset();
+  m_disk_workers.reset();
 }
 
 }  // namespace bronzecross
--- a/packages/peers/peer_server.h
+++ b/packages/peers/peer_server.h
@@ -26,7 +26,8 @@
 
 enum class PeerDispatch {
   kOnConnection,  // short, never blocks
-  kOnWorker,      // may block on disk, upstreams or other VMs
+  kOnWorker,      // may block on upstreams or other VMs
+  kOnDisk,        // blocks on this VM's disk only, never on another VM
 };
 
 class PeerServer {
@@ -65,6 +66,9 @@
   bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
   std::set<std::unique_ptr<Connection>> m_connections ABSL_GUARDED_BY(m_mutex);
   std::unique_ptr<WorkerPool> m_workers;
+  // Apart from m_workers, whose threads may all be waiting for the disk of
+  // another VM that waits for this one's.
+  std::unique_ptr<WorkerPool> m_disk_workers;
 };
 
 }  // namespace bronzecross
--- a/packages/peers/peer_server_session.cc
+++ b/packages/peers/peer_server_session.cc
@@ -130,17 +130,19 @@
     QueueAnswer(stream, method->m_handler(request.m_body, deadline));
     return;
   }
-  const bool queued =
-      m_server.m_workers->Submit([self = shared_from_this(), method, stream,
-                                  deadline, body = std::move(request.m_body)] {
-        // Work whose caller has given up is dropped unrun.
-        if (MonotonicNow() >= deadline) {
-          self->QueueAnswer(stream, Fail(ResultCode::kDeadlineExceeded,
-                                         "the deadline passed in the queue"));
-          return;
-        }
-        self->QueueAnswer(stream, method->m_handler(body, deadline));
-      });
+  WorkerPool& pool = method->m_dispatch == PeerDispatch::kOnDisk
+                         ? *m_server.m_disk_workers
+                         : *m_server.m_workers;
+  const bool queued = pool.Submit([self = shared_from_this(), method, stream,
+                                   deadline, body = std::move(request.m_body)] {
+    // Work whose caller has given up is dropped unrun.
+    if (MonotonicNow() >= deadline) {
+      self->QueueAnswer(stream, Fail(ResultCode::kDeadlineExceeded,
+                                     "the deadline passed in the queue"));
+      return;
+    }
+    self->QueueAnswer(stream, method->m_handler(body, deadline));
+  });
   if (!queued) {
     QueueAnswer(stream,
                 Fail(ResultCode::kOverloaded, "the peer's queue is full"));
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -29,6 +29,19 @@
   return options;
 }
 
+LedgerOptions MakeLedgerOptions(const Settings& settings) {
+  LedgerOptions options;
+  options.m_prefix = settings.m_store_prefix + "ledgers/";
+  options.m_data_dir = settings.m_data_dir;
+  options.m_data_max_bytes = settings.m_data_max_bytes;
+  options.m_copy_timeout = settings.m_ledger_copy_timeout;
+  options.m_append_timeout = settings.m_ledger_append_timeout;
+  options.m_repair_bytes_per_s = settings.m_ledger_repair_bytes_per_s;
+  options.m_repair_interval = settings.m_ledger_repair_interval;
+  options.m_repair_after = settings.m_ledger_repair_after;
+  return options;
+}
+
 HttpServerOptions MakeCallerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.m_address = settings.m_http_address;
@@ -54,6 +67,10 @@
       m_membership(MakeMembershipOptions(settings),
                    m_peer_server,
                    m_peer_client),
+      m_ledger(MakeLedgerOptions(settings),
+               m_store,
+               m_membership,
+               m_peer_server),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
       m_online(m_config,
@@ -80,6 +97,7 @@
   }
   m_config_follower.Start();
   m_membership.Start();
+  m_ledger.Start();
   m_upstreams.Start();
   const json record = {{"id", m_settings.m_vm_id},
                        {"zone", m_settings.m_availability_zone},
@@ -155,6 +173,7 @@
   }
   m_caller_server.Stop();
   m_batch.Stop();
+  m_ledger.Stop();
   m_vm_lease->Stop();
   m_config_follower.Stop();
   m_upstreams.Stop();
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -14,6 +14,7 @@
 #include "config_follower.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "ledger/replicated_ledger.h"
 #include "limits/limiter.h"
 #include "membership/membership.h"
 #include "online/online_service.h"
@@ -47,6 +48,7 @@
   PeerServer m_peer_server;
   PeerClient m_peer_client;
   Membership m_membership;
+  ReplicatedLedger m_ledger;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   OnlineService m_online;
