Make a stand-in's running flag safe to read from other threads

Cause: the thread sanitizer reported a race between a crashing engine stand-in and the test that waits for it. Change: an atomic flag set after the stop.

--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -40,6 +40,7 @@
     std::abort();
   }
   m_address = m_server->Address();
+  m_running = true;
 }
 
 void StandinServer::Stop() {
@@ -47,6 +48,7 @@
     m_server->StopListening();
     m_server->Stop();
     m_server.reset();
+    m_running = false;
   }
 }
 
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -4,6 +4,7 @@
 #ifndef BRONZECROSS_STANDINS_STANDIN_SERVER_H_
 #define BRONZECROSS_STANDINS_STANDIN_SERVER_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,7 +25,7 @@
   // Cuts all connections, as a crash does.
   void Stop();
 
-  bool IsRunning() const { return m_server != nullptr; }
+  bool IsRunning() const { return m_running; }
   const NetAddress& Address() const { return m_address; }
   std::string Url() const { return "http://" + m_address.ToString(); }
 
@@ -32,6 +33,7 @@
   Handler m_handler;
   NetAddress m_address{"127.0.0.1", 0};
   std::unique_ptr<HttpServer> m_server;
+  std::atomic<bool> m_running = false;
 };
 
 // Whether the other side of a connection has hung up.
