--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -209,6 +209,12 @@
     std::filesystem::create_directories(DataFolder(vm));
     absl::StrAppend(&text, "data_dir = \"", DataFolder(vm), "\"\n");
   }
+  const size_t index = static_cast<size_t>(vm);
+  if (index < m_options.m_vm_halves.size() &&
+      !m_options.m_vm_halves[index].empty()) {
+    absl::StrAppend(&text, "halves = [\"", m_options.m_vm_halves[index],
+                    "\"]\n");
+  }
   absl::StrAppend(
       &text,
       "[listen]\nhttp = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n"
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -31,6 +31,8 @@
   // Stands a proxy before each VM's peer port for each viewer, and between each
   // VM and the store.
   bool m_proxies = false;
+  // The half that each VM serves; shorter than the VMs, or "": all.
+  std::vector<std::string> m_vm_halves;
   // Further TOML for each VM's settings, for example "[log]\nlevel = ...".
   std::string m_settings;
   uint64_t m_seed = 1;
