Spread the configuration through peers and bound the control traffic

Cause: every VM watched the store, heartbeats grew with the square of the fleet, and a VM could not tell whether its manifest was confirmed.

Change: packages/distribution pushes patches and pulls whole documents, at most three VMs watch; membership accepts only news of the latest incarnation, samples its contacts above 16 VMs and passes on digests; keyed requests are refused while the manifest is not confirmed, and calls under way end with their key.

--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -55,6 +55,7 @@
 
   // [membership]
   Millis m_heartbeat_interval;
+  int64_t m_max_heartbeats_per_s = 0;
 
   // [drain]
   Millis m_drain_notice;
--- /dev/null
+++ b/packages/distribution/config_distributor.cc
@@ -0,0 +1,497 @@
+#include "distribution/config_distributor.h"
+
+#include <algorithm>
+
+#include <absl/time/time.h>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "distribution/config_cache.h"
+#include "distribution/config_document.h"
+#include "distribution/config_roles.h"
+#include "peers/message.h"
+#include "store/kv_watch.h"
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kRolesTick{50};
+constexpr Millis kLongestWatch{600'000};
+// A watcher also asks at this interval whether the manifest changed: a watch
+// whose connection swallows bytes never ends by itself.
+constexpr Millis kStorePoll{1000};
+// A VM that lacks another confirmation asks more often than kFreshWindow.
+constexpr Millis kStorePollUnconfirmed{500};
+// After so many failed reads in a row a VM tells that it lacks the store.
+constexpr int kStoreFailureLimit = 2;
+// A later generation that a heartbeat tells of is usually being pushed; it is
+// pulled only if it has not come by then.
+constexpr Millis kPullDelay{150};
+constexpr Millis kPullTimeout{1000};
+constexpr Millis kPushTimeout{500};
+constexpr int kPushThreads = 8;
+constexpr size_t kPushQueue = 4096;
+// Peers are asked first; the cache file serves when none has a manifest.
+constexpr Millis kCacheDelay{1000};
+
+}  // namespace
+
+ConfigDistributor::ConfigDistributor(ConfigHolder& config,
+                                     KvClient& store,
+                                     Membership& membership,
+                                     PeerServer& server,
+                                     std::string key,
+                                     std::string cache_path)
+    : m_config(config),
+      m_store(store),
+      m_membership(membership),
+      m_key(std::move(key)),
+      m_cache_path(std::move(cache_path)),
+      m_created(MonotonicNow()),
+      m_push_pool(std::make_unique<WorkerPool>(kPushThreads, kPushQueue)) {
+  HeartbeatSection section;
+  section.m_make = [this] { return MakeSection(); };
+  section.m_take = [this](const std::string& from, const json& value) {
+    TakeSection(from, value);
+  };
+  // IsFresh() relies on each answer to carry the generation of that moment.
+  section.m_always = true;
+  m_membership.AddSection("cfg", std::move(section));
+  server.Register(
+      "config.push", PeerDispatch::kOnWorker,
+      [this](std::string_view body, Millis) { return AnswerPush(body); });
+  server.Register("config.pull", PeerDispatch::kOnWorker,
+                  [this](std::string_view, Millis) { return AnswerPull(); });
+}
+
+ConfigDistributor::~ConfigDistributor() {
+  Stop();
+}
+
+void ConfigDistributor::Start() {
+  m_roles_thread = std::thread([this] { RunRoles(); });
+  m_store_thread = std::thread([this] { RunStore(); });
+  m_watch_thread = std::thread([this] { RunWatch(); });
+}
+
+void ConfigDistributor::Stop() {
+  {
+    absl::MutexLock lock(&m_mutex);
+    m_stopping = true;
+    if (m_watch_cancel != nullptr) {
+      m_watch_cancel->Cancel();
+    }
+  }
+  for (std::thread* thread :
+       {&m_roles_thread, &m_store_thread, &m_watch_thread}) {
+    if (thread->joinable()) {
+      thread->join();
+    }
+  }
+}
+
+bool ConfigDistributor::WaitStopped(Millis duration) {
+  absl::MutexLock lock(&m_mutex);
+  return m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping),
+                                  absl::Milliseconds(duration.count()));
+}
+
+void ConfigDistributor::RunRoles() {
+  while (true) {
+    UpdateWatching();
+    bool pulled = false;
+    do {
+      pulled = PullIfBehind();
+    } while (pulled);
+    LoadCacheOnce();
+    SaveCache();
+    UpdateFreshness();
+    absl::MutexLock lock(&m_mutex);
+    const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+      return m_stopping || m_wake;
+    };
+    m_mutex.AwaitWithTimeout(absl::Condition(&ready),
+                             absl::Milliseconds(kRolesTick.count()));
+    m_wake = false;
+    if (m_stopping) {
+      return;
+    }
+  }
+}
+
+void ConfigDistributor::UpdateWatching() {
+  std::vector<Member> members = m_membership.Eligible();
+  if (members.empty()) {
+    members = m_membership.Live();
+  }
+  const std::string& self = m_membership.Self().m_id;
+  absl::MutexLock lock(&m_mutex);
+  std::set<std::string> without_store = m_without_store;
+  if (m_store_failures >= kStoreFailureLimit) {
+    without_store.insert(self);
+  }
+  const std::vector<std::string> watchers =
+      ChooseWatchers(members, without_store);
+  const bool watching =
+      std::find(watchers.begin(), watchers.end(), self) != watchers.end();
+  if (watching == m_watching) {
+    return;
+  }
+  m_watching = watching;
+  if (!watching && m_watch_cancel != nullptr) {
+    m_watch_cancel->Cancel();
+  }
+  Log(Severity::kInfo, LogPart::kConfig,
+      watching ? "Watches the manifest in the store."
+               : "Leaves watching the manifest to other VMs.",
+      {{"live", members.size()}, {"without_store", without_store.size()}});
+}
+
+bool ConfigDistributor::PullIfBehind() {
+  const int64_t own = Generation();
+  std::vector<std::string> sources;
+  {
+    absl::MutexLock lock(&m_mutex);
+    if (m_stopping || m_highest_heard <= own ||
+        MonotonicNow() - m_behind_since < kPullDelay) {
+      return false;
+    }
+    for (const auto& [id, generation] : m_generations) {
+      if (generation > own) {
+        sources.push_back(id);
+      }
+    }
+  }
+  if (sources.empty()) {
+    return false;
+  }
+  const std::string& source =
+      sources[RandomBelow(ThreadRandom(), sources.size())];
+  const Result<json> answer =
+      m_membership.Call(source, "config.pull", json::object(), kPullTimeout);
+  if (!answer) {
+    LogError(Severity::kWarning, LogPart::kConfig,
+             "Cannot pull the manifest from a VM.", answer.error());
+    return false;
+  }
+  if (!answer->is_object() || !answer->contains("document") ||
+      answer->value("hash", "") != DocumentHash(answer->at("document"))) {
+    Log(Severity::kWarning, LogPart::kConfig,
+        "Dropped a damaged manifest from a VM.", {{"vm", source}});
+    return false;
+  }
+  return Install(answer->at("document"), "pull");
+}
+
+void ConfigDistributor::LoadCacheOnce() {
+  if (m_cache_path.empty() || m_cache_tried || Generation() > 0 ||
+      MonotonicNow() - m_created < kCacheDelay) {
+    return;
+  }
+  m_cache_tried = true;
+  Result<json> document = ReadConfigCache(m_cache_path);
+  if (document) {
+    m_cached_generation = DocumentGeneration(*document);
+    Install(std::move(*document), "cache");
+  } else if (document.error().m_code != ResultCode::kNotFound) {
+    LogError(Severity::kWarning, LogPart::kConfig,
+             "Cannot use the cached manifest.", document.error());
+  }
+}
+
+void ConfigDistributor::SaveCache() {
+  if (m_cache_path.empty() || Generation() <= m_cached_generation) {
+    return;
+  }
+  json document;
+  {
+    absl::MutexLock lock(&m_mutex);
+    document = m_document;
+  }
+  const Status written = WriteConfigCache(m_cache_path, document);
+  // A full disk must not stop the installation; the next generation tries
+  // again.
+  m_cached_generation = DocumentGeneration(document);
+  if (!written) {
+    LogError(Severity::kWarning, LogPart::kConfig, "Cannot cache the manifest.",
+             written.error());
+  }
+}
+
+void ConfigDistributor::UpdateFreshness() {
+  const Millis contact = m_membership.LastMajorityContact();
+  const int64_t own = Generation();
+  const Millis now = MonotonicNow();
+  bool fresh = false;
+  {
+    absl::MutexLock lock(&m_mutex);
+    if (own > 0 && own >= m_highest_heard) {
+      m_fresh_as_of = std::max({m_fresh_as_of, contact, m_store_confirmed});
+    }
+    fresh = m_fresh_as_of != Millis(0) && now - m_fresh_as_of <= kFreshWindow;
+    if (fresh == m_was_fresh) {
+      return;
+    }
+    m_was_fresh = fresh;
+  }
+  SetGauge("bronzecross_config_fresh", {}, fresh ? 1 : 0);
+  Log(fresh ? Severity::kInfo : Severity::kWarning, LogPart::kConfig,
+      fresh ? "The manifest is confirmed." : "The manifest is not confirmed.",
+      {{"generation", own}, {"majority_contact_ms_ago", now - contact}});
+}
+
+bool ConfigDistributor::IsFresh() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_fresh_as_of != Millis(0) &&
+         MonotonicNow() - m_fresh_as_of <= kFreshWindow;
+}
+
+json ConfigDistributor::MakeStatus() const {
+  const bool fresh = IsFresh();
+  absl::MutexLock lock(&m_mutex);
+  return {{"fresh", fresh},
+          {"watching", m_watching},
+          {"store_reachable", m_store_failures < kStoreFailureLimit},
+          {"highest_generation_heard", m_highest_heard}};
+}
+
+bool ConfigDistributor::NeedsStore() const {
+  const bool confirmed = m_membership.HasMajorityContact(kStorePoll);
+  const int64_t own = Generation();
+  absl::MutexLock lock(&m_mutex);
+  return m_watching || !confirmed || own == 0 || own < m_highest_heard ||
+         m_store_failures >= kStoreFailureLimit;
+}
+
+void ConfigDistributor::RunStore() {
+  Millis last;
+  do {
+    bool watching = false;
+    {
+      absl::MutexLock lock(&m_mutex);
+      watching = m_watching;
+    }
+    const Millis interval =
+        watching && IsFresh() ? kStorePoll : kStorePollUnconfirmed;
+    if (last == Millis(0) ||
+        (MonotonicNow() - last >= interval && NeedsStore())) {
+      last = MonotonicNow();
+      ReadStore();
+    }
+  } while (!WaitStopped(kRolesTick));
+}
+
+void ConfigDistributor::ReadStore() {
+  int64_t known = 0;
+  {
+    absl::MutexLock lock(&m_mutex);
+    known = m_store_revision;
+  }
+  const Millis asked = MonotonicNow();
+  const Result<KvRange> range = m_store.List(m_key, known + 1);
+  if (!range) {
+    absl::MutexLock lock(&m_mutex);
+    if (++m_store_failures == kStoreFailureLimit) {
+      LogError(Severity::kWarning, LogPart::kConfig,
+               "Cannot read the manifest in the store.", range.error());
+    }
+    return;
+  }
+  for (const KvEntry& entry : range->m_entries) {
+    if (entry.m_key == m_key) {
+      TakeFromStore(entry);
+    }
+  }
+  absl::MutexLock lock(&m_mutex);
+  m_store_failures = 0;
+  // A manifest that was refused is not in force, so nothing is confirmed.
+  if (range->m_entries.empty() || m_store_revision > known) {
+    m_store_confirmed = asked;
+  }
+}
+
+void ConfigDistributor::RunWatch() {
+  while (true) {
+    std::shared_ptr<CancelToken> cancel;
+    int64_t first_revision = 0;
+    {
+      absl::MutexLock lock(&m_mutex);
+      if (m_stopping) {
+        return;
+      }
+      if (m_watching && m_store_failures == 0 && m_store_revision > 0) {
+        cancel = std::make_shared<CancelToken>();
+        m_watch_cancel = cancel;
+        first_revision = m_store_revision + 1;
+      }
+    }
+    if (cancel != nullptr) {
+      const Error ended = WatchPrefix(
+          m_store, m_key, first_revision, kLongestWatch, *cancel,
+          [this](const KvChange& change) {
+            if (!change.m_deleted && change.m_entry.m_key == m_key) {
+              TakeFromStore(change.m_entry);
+            }
+          });
+      if (!cancel->IsCancelled()) {
+        LogError(Severity::kWarning, LogPart::kConfig,
+                 "The watch on the manifest ended.", ended);
+      }
+    }
+    if (WaitStopped(kStorePollUnconfirmed)) {
+      return;
+    }
+  }
+}
+
+void ConfigDistributor::TakeFromStore(const KvEntry& entry) {
+  const Result<Manifest> manifest = ParseManifestJson(entry.m_value);
+  if (!manifest) {
+    LogError(Severity::kError, LogPart::kConfig,
+             "Refused a manifest from the store.", manifest.error());
+    return;
+  }
+  json document = MakeDocument(*manifest);
+  json before;
+  {
+    absl::MutexLock lock(&m_mutex);
+    before = m_document;
+  }
+  const bool installed = Install(document, "store");
+  {
+    absl::MutexLock lock(&m_mutex);
+    m_store_revision = std::max(m_store_revision, entry.m_mod_revision);
+  }
+  if (installed && before.is_object()) {
+    const std::string& self = m_membership.Self().m_id;
+    const ConfigPatch patch = MakePatch(before, document);
+    Push({{"from", patch.m_from},
+          {"to", patch.m_to},
+          {"patch", patch.m_merge},
+          {"hash", patch.m_hash},
+          {"root", self},
+          {"sender", self}},
+         self);
+  }
+}
+
+bool ConfigDistributor::Install(json document, std::string_view source) {
+  Result<Manifest> manifest = ManifestFromDocument(document);
+  if (!manifest) {
+    LogError(Severity::kError, LogPart::kConfig, "Refused a manifest.",
+             manifest.error());
+    return false;
+  }
+  const int64_t generation = manifest->m_generation;
+  {
+    absl::MutexLock install(&m_install_mutex);
+    if (!m_config.Install(std::move(*manifest))) {
+      return false;
+    }
+    absl::MutexLock lock(&m_mutex);
+    m_document = std::move(document);
+    m_wake = true;
+  }
+  CountMetric("bronzecross_config_installs_total", {{"source", source}});
+  SetGauge("bronzecross_config_generation", {},
+           static_cast<double>(generation));
+  Log(Severity::kInfo, LogPart::kConfig, "The manifest is in force.",
+      {{"generation", generation}, {"source", source}});
+  return true;
+}
+
+void ConfigDistributor::Push(const json& message, std::string_view root) {
+  const std::string& self = m_membership.Self().m_id;
+  const std::vector<Member> live = m_membership.Live();
+  json own = message;
+  own["sender"] = self;
+  for (const std::string& target : PushTargets(root, self, live)) {
+    const bool queued = m_push_pool->Submit([this, target, own] {
+      // A VM that is missed here pulls, as heartbeats tell the generation.
+      const Result<json> answer =
+          m_membership.Call(target, "config.push", own, kPushTimeout);
+      if (!answer) {
+        LogError(Severity::kWarning, LogPart::kConfig,
+                 "Cannot push the manifest to " + target + ".", answer.error());
+      }
+    });
+    if (!queued) {
+      return;
+    }
+  }
+}
+
+Result<std::string> ConfigDistributor::AnswerPush(std::string_view body) {
+  const Result<json> message = DecodeMessage(body);
+  if (!message) {
+    return tl::unexpected<Error>(message.error());
+  }
+  try {
+    const ConfigPatch patch{message->at("from"), message->at("to"),
+                            message->at("patch"), message->at("hash")};
+    const std::string root = message->at("root");
+    const std::string sender = message->at("sender");
+    json document;
+    {
+      absl::MutexLock lock(&m_mutex);
+      document = m_document;
+    }
+    if (patch.m_to > DocumentGeneration(document)) {
+      Result<json> patched = ApplyPatch(std::move(document), patch);
+      if (patched) {
+        Install(std::move(*patched), "push");
+      } else {
+        // Pulled at once: no other push can help.
+        absl::MutexLock lock(&m_mutex);
+        m_generations[sender] = std::max(m_generations[sender], patch.m_to);
+        m_highest_heard = std::max(m_highest_heard, patch.m_to);
+        m_behind_since = Millis(0);
+        m_wake = true;
+      }
+    }
+    Push(*message, root);
+  } catch (const json::exception& error) {
+    return Fail(ResultCode::kMalformedBody, error.what());
+  }
+  return EncodeMessage(json{{"generation", Generation()}});
+}
+
+Result<std::string> ConfigDistributor::AnswerPull() const {
+  absl::MutexLock lock(&m_mutex);
+  if (!m_document.is_object()) {
+    return Fail(ResultCode::kNotFound, "this VM has no manifest yet");
+  }
+  return EncodeMessage(
+      json{{"hash", DocumentHash(m_document)}, {"document", m_document}});
+}
+
+json ConfigDistributor::MakeSection() const {
+  const int64_t generation = Generation();
+  absl::MutexLock lock(&m_mutex);
+  return json::array(
+      {generation, m_store_failures < kStoreFailureLimit ? 1 : 0});
+}
+
+void ConfigDistributor::TakeSection(const std::string& from,
+                                    const json& section) {
+  const int64_t generation = section.at(0);
+  const bool reaches_store = section.at(1).get<int>() != 0;
+  const int64_t own = Generation();
+  absl::MutexLock lock(&m_mutex);
+  m_generations[from] = generation;
+  if (reaches_store) {
+    m_without_store.erase(from);
+  } else {
+    m_without_store.insert(from);
+  }
+  if (generation > m_highest_heard) {
+    m_behind_since = m_highest_heard > own ? m_behind_since : MonotonicNow();
+    m_highest_heard = generation;
+    m_wake = true;
+  }
+}
+
+}  // namespace bronzecross
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -1,8 +1,13 @@
 #include "membership/membership.h"
 
+#include <algorithm>
+
 #include <absl/time/time.h>
 
+#include "base/hash.h"
 #include "base/log.h"
+#include "base/random.h"
+#include "membership/digest.h"
 #include "membership/vm_list.h"
 #include "peers/message.h"
 
@@ -13,12 +18,54 @@
 
 constexpr Millis kHeartbeatTimeout{1000};
 constexpr Millis kVmListTimeout{1000};
+// After so many failures in a row the connection is opened anew: one that
+// swallows bytes never reports an error.
+constexpr int kReconnectAfter = 2;
+// A VM that is no longer listed stays known while it answers; the list lags.
+constexpr Millis kUnlistedLife{5000};
+// An upstream counts as leaving for this long after the last sight of it in
+// some VM's list.
+constexpr Millis kLeavingLife{5000};
+
+constexpr std::string_view kLeavingSection = "leaving";
+
+// The fields of a heartbeat, which is an array to save bytes.
+constexpr size_t kId = 0;
+constexpr size_t kIncarnation = 1;
+constexpr size_t kFlags = 2;
+constexpr size_t kSections = 3;
+// In a heartbeat the members' hash, in an answer the digest; null in a small
+// fleet.
+constexpr size_t kNews = 4;
+constexpr size_t kFields = 5;
+
+constexpr int kDrainingFlag = 1;
+constexpr int kDataDirFlag = 2;
+
+bool IsSmallFleet(size_t peers) {
+  return peers + 1 <= kFullMeshLimit;
+}
 
 }  // namespace
 
 struct Membership::Peer {
+  struct Told {
+    uint64_t m_hash = 0;
+    Millis m_at;
+  };
+
   Member m_member;
   bool m_listed = true;
+  // Whether this VM sends heartbeats to it, and whether a thread does so.
+  bool m_contacted = false;
+  bool m_running = false;
+  // The sections that it was last told.
+  std::map<std::string, Told, std::less<>> m_told;
+};
+
+struct Membership::ContactThread {
+  std::thread m_thread;
+  std::atomic<bool> m_done = false;
 };
 
 Membership::Membership(MembershipOptions options,
@@ -31,6 +78,10 @@
   m_server.Register(
       "heartbeat", PeerDispatch::kOnConnection,
       [this](std::string_view body, Millis) { return AnswerHeartbeat(body); });
+  AddSection(kLeavingSection, {[this] { return MakeLeavingSection(); },
+                               [this](const std::string&, const json& section) {
+                                 TakeLeavingSection(section);
+                               }});
 }
 
 Membership::~Membership() {
@@ -47,7 +98,7 @@
 }
 
 void Membership::Stop() {
-  std::vector<std::thread> threads;
+  std::vector<std::unique_ptr<ContactThread>> threads;
   {
     absl::MutexLock lock(&m_mutex);
     m_stopping = true;
@@ -59,8 +110,8 @@
     absl::MutexLock lock(&m_mutex);
     threads.swap(m_threads);
   }
-  for (std::thread& thread : threads) {
-    thread.join();
+  for (const std::unique_ptr<ContactThread>& thread : threads) {
+    thread->m_thread.join();
   }
 }
 
@@ -72,6 +123,7 @@
 
 void Membership::PollList() {
   do {
+    const Millis asked = MonotonicNow();
     const Result<VmList> list =
         FetchVmList(m_http, m_options.m_vm_list_url, kVmListTimeout);
     if (list) {
@@ -81,92 +133,234 @@
       LogError(Severity::kWarning, LogPart::kMembership,
                "Cannot read the list of VMs.", list.error());
     }
+    {
+      absl::MutexLock lock(&m_mutex);
+      m_list_read = list ? asked : m_list_read;
+      UpdateContacts();
+    }
   } while (!WaitStopped(m_options.m_vm_list_poll));
 }
 
 void Membership::ApplyList(const VmList& list) {
+  const Millis now = MonotonicNow();
   absl::MutexLock lock(&m_mutex);
-  m_leaving_upstreams = list.m_leaving_upstreams;
+  for (const std::string& name : list.m_leaving_upstreams) {
+    m_leaving_upstreams[name] = now;
+  }
   for (const auto& [id, peer] : m_peers) {
     peer->m_listed = false;
   }
+  m_self_leaving = false;
   for (const VmListEntry& entry : list.m_vms) {
     if (entry.m_id == m_self.m_id) {
+      m_self_leaving = entry.m_leaving;
       continue;
     }
     std::shared_ptr<Peer>& peer = m_peers[entry.m_id];
-    const bool is_new = peer == nullptr;
-    if (is_new) {
+    if (peer == nullptr) {
       peer = std::make_shared<Peer>();
     }
     peer->m_listed = true;
     peer->m_member.m_id = entry.m_id;
+    peer->m_member.m_leaving = entry.m_leaving;
     peer->m_member.m_availability_zone = entry.m_zone;
     peer->m_member.m_peer_address = {entry.m_address,
                                      static_cast<uint16_t>(entry.m_peer_port)};
-    if (is_new) {
-      m_threads.emplace_back([this, peer] { Heartbeat(peer); });
+  }
+  std::erase_if(m_peers, [now](const auto& item) {
+    Peer& peer = *item.second;
+    const Millis seen = peer.m_member.m_last_evidence;
+    const bool gone =
+        !peer.m_listed && (seen == Millis(0) || now - seen > kUnlistedLife);
+    peer.m_contacted = peer.m_contacted && !gone;
+    return gone;
+  });
+}
+
+void Membership::UpdateContacts() {
+  std::erase_if(m_threads, [](const std::unique_ptr<ContactThread>& thread) {
+    const bool done = thread->m_done;
+    if (done) {
+      thread->m_thread.join();
+    }
+    return done;
+  });
+  std::vector<Member> members;
+  for (const auto& [id, peer] : m_peers) {
+    peer->m_contacted = false;
+    members.push_back(peer->m_member);
+  }
+  const std::vector<std::string> contacts =
+      ChooseContacts(m_self.m_id, members, MonotonicNow(), ThreadRandom());
+  m_contacts = contacts.size();
+  for (const std::string& id : contacts) {
+    const std::shared_ptr<Peer>& peer = m_peers.find(id)->second;
+    peer->m_contacted = true;
+    if (!peer->m_running && !m_stopping) {
+      peer->m_running = true;
+      std::unique_ptr<ContactThread>& thread =
+          m_threads.emplace_back(std::make_unique<ContactThread>());
+      thread->m_thread = std::thread([this, peer, raw = thread.get()] {
+        Heartbeat(peer);
+        raw->m_done = true;
+      });
     }
   }
-  std::erase_if(m_peers,
-                [](const auto& item) { return !item.second->m_listed; });
 }
 
 void Membership::Heartbeat(const std::shared_ptr<Peer>& peer) {
+  NetAddress address;
+  Millis interval;
+  int failures = 0;
   do {
-    NetAddress address;
+    const NetAddress before = address;
     {
       absl::MutexLock lock(&m_mutex);
-      if (!peer->m_listed) {
-        return;
+      if (!peer->m_contacted) {
+        peer->m_running = false;
+        break;
       }
       address = peer->m_member.m_peer_address;
+      interval = HeartbeatInterval(m_options.m_heartbeat_interval, m_contacts,
+                                   m_options.m_max_heartbeats_per_s);
     }
-    const Millis sent = MonotonicNow();
-    const Result<std::string> answer =
-        m_client.Call(address, "heartbeat", EncodeMessage(MakeHeartbeat()),
-                      kHeartbeatTimeout);
-    const Result<json> message =
-        answer ? DecodeMessage(*answer)
-               : Result<json>(tl::unexpected<Error>(answer.error()));
-    if (message) {
-      TakeHeartbeat(*message);
-      absl::MutexLock lock(&m_mutex);
-      peer->m_member.m_last_heard = sent;
+    if (before.m_port != 0 && before.ToString() != address.ToString()) {
+      m_client.Forget(before);
+    }
+    failures = SendHeartbeat(*peer, address) ? 0 : failures + 1;
+    if (failures >= kReconnectAfter) {
+      m_client.Forget(address);
     }
-  } while (!WaitStopped(m_options.m_heartbeat_interval));
+  } while (!WaitStopped(interval));
+  m_client.Forget(address);
+}
+
+bool Membership::SendHeartbeat(Peer& peer, const NetAddress& address) {
+  std::string id;
+  uint32_t own_hash = 0;
+  {
+    absl::MutexLock lock(&m_mutex);
+    id = peer.m_member.m_id;
+    own_hash = IsSmallFleet(m_peers.size()) ? 0 : MembersHash(SortedMembers());
+  }
+  json message = MakeHeartbeat(id);
+  if (own_hash != 0) {
+    message[kNews] = own_hash;
+  }
+  const Millis sent = MonotonicNow();
+  const Result<std::string> bytes = m_client.Call(
+      address, "heartbeat", EncodeMessage(message), kHeartbeatTimeout);
+  const Result<json> answer =
+      bytes ? DecodeMessage(*bytes) : tl::unexpected<Error>(bytes.error());
+  // An answer from another VM, or from an earlier run, says nothing about this
+  // one.
+  const bool taken = answer && answer->is_array() &&
+                     answer->size() == kFields && (*answer)[kId] == id &&
+                     TakeHeartbeat(*answer);
+  absl::MutexLock lock(&m_mutex);
+  if (!taken) {
+    peer.m_told.clear();
+    return false;
+  }
+  peer.m_member.m_last_heard = std::max(peer.m_member.m_last_heard, sent);
+  peer.m_member.m_last_evidence = std::max(peer.m_member.m_last_evidence, sent);
+  if (own_hash != 0 && !(*answer)[kNews].is_null()) {
+    TakeAnswerDigest((*answer)[kNews], own_hash, sent);
+  }
+  return true;
+}
+
+void Membership::TakeAnswerDigest(const json& digest,
+                                  uint32_t own_hash,
+                                  Millis sent) {
+  // A copy stands for this VM: nobody else tells it anything about itself.
+  Member self = m_self;
+  self.m_draining = m_draining;
+  std::map<std::string_view, Member*> by_id = {{self.m_id, &self}};
+  for (const auto& [id, peer] : m_peers) {
+    by_id[id] = &peer->m_member;
+  }
+  std::vector<Member*> members;
+  for (const auto& [id, member] : by_id) {
+    members.push_back(member);
+  }
+  try {
+    TakeDigest(digest, own_hash, sent, members);
+  } catch (const json::exception& error) {
+    Log(Severity::kWarning, LogPart::kMembership, "Dropped a damaged digest.",
+        {{"error", error.what()}});
+  }
+}
+
+json Membership::MakeHeartbeat(std::string_view to) {
+  json message = json::array();
+  message[kFields - 1] = nullptr;
+  message[kId] = m_self.m_id;
+  message[kIncarnation] = m_self.m_incarnation;
+  message[kFlags] = (m_draining ? kDrainingFlag : 0) |
+                    (m_self.m_has_data_dir ? kDataDirFlag : 0);
+  message[kSections] = MakeSections(to);
+  return message;
 }
 
-json Membership::MakeHeartbeat() const {
-  json message = {{"id", m_self.m_id},
-                  {"incarnation", m_self.m_incarnation},
-                  {"data", m_self.m_has_data_dir},
-                  {"draining", m_draining.load()}};
-  json& sections = message["sections"] = json::object();
+json Membership::MakeSections(std::string_view to) {
+  // The sections' functions take other parts' locks, so they run outside ours.
+  std::map<std::string_view, json> values;
   for (const auto& [name, section] : m_sections) {
     json value = section.m_make();
     if (!value.is_null()) {
-      sections[name] = std::move(value);
+      values.emplace(name, std::move(value));
     }
   }
-  return message;
+  const Millis now = MonotonicNow();
+  json sections;
+  absl::MutexLock lock(&m_mutex);
+  const auto found = m_peers.find(to);
+  if (found == m_peers.end()) {
+    return sections;
+  }
+  for (auto& [name, value] : values) {
+    Peer::Told& told = found->second->m_told[std::string(name)];
+    const uint64_t hash = Hash64(EncodeMessage(value));
+    const bool always = m_sections.find(name)->second.m_always;
+    if (always || told.m_at == Millis(0) || told.m_hash != hash ||
+        now - told.m_at >= kSectionRefresh) {
+      told = {hash, now};
+      sections[std::string(name)] = std::move(value);
+    }
+  }
+  return sections;
 }
 
-void Membership::TakeHeartbeat(const json& message) {
+bool Membership::TakeHeartbeat(const json& message) {
   try {
-    const std::string from = message.at("id");
+    const std::string from = message.at(kId);
     {
       absl::MutexLock lock(&m_mutex);
       const auto found = m_peers.find(from);
       if (found == m_peers.end()) {
-        return;
+        return false;
       }
       Member& member = found->second->m_member;
-      message.at("incarnation").get_to(member.m_incarnation);
-      message.at("data").get_to(member.m_has_data_dir);
-      message.at("draining").get_to(member.m_draining);
+      const int64_t incarnation = message.at(kIncarnation);
+      if (incarnation > member.m_incarnation) {
+        found->second->m_told.clear();
+        Log(Severity::kInfo, LogPart::kMembership, "A VM has started.",
+            {{"vm", from},
+             {"incarnation", incarnation},
+             {"before", member.m_incarnation}});
+      }
+      if (!AcceptIncarnation(member, incarnation)) {
+        return false;
+      }
+      const int flags = message.at(kFlags);
+      member.m_has_data_dir = (flags & kDataDirFlag) != 0;
+      member.m_draining = (flags & kDrainingFlag) != 0;
     }
-    for (const auto& [name, value] : message.at("sections").items()) {
+    if (message.at(kSections).is_null()) {
+      return true;
+    }
+    for (const auto& [name, value] : message.at(kSections).items()) {
       const auto section = m_sections.find(name);
       if (section != m_sections.end()) {
         section->second.m_take(from, value);
@@ -175,7 +369,9 @@
   } catch (const json::exception& error) {
     Log(Severity::kWarning, LogPart::kMembership,
         "Dropped a damaged heartbeat.", {{"error", error.what()}});
+    return false;
   }
+  return true;
 }
 
 Result<std::string> Membership::AnswerHeartbeat(std::string_view body) {
@@ -183,29 +379,88 @@
   if (!message) {
     return tl::unexpected<Error>(message.error());
   }
+  if (!message->is_array() || message->size() != kFields ||
+      !(*message)[kId].is_string()) {
+    return Fail(ResultCode::kMalformedBody, "the heartbeat is damaged");
+  }
   TakeHeartbeat(*message);
-  return EncodeMessage(MakeHeartbeat());
+  json answer = MakeHeartbeat((*message)[kId].get<std::string>());
+  if ((*message)[kNews].is_number_unsigned()) {
+    const uint64_t first = RandomBelow(ThreadRandom(), UINT32_MAX);
+    absl::MutexLock lock(&m_mutex);
+    answer[kNews] =
+        MakeDigest(SortedMembers(), (*message)[kNews], MonotonicNow(), first);
+  }
+  return EncodeMessage(answer);
 }
 
-std::vector<Member> Membership::Known() const {
-  std::vector<Member> members;
+json Membership::MakeLeavingSection() const {
+  const Millis now = MonotonicNow();
+  json section;
+  absl::MutexLock lock(&m_mutex);
+  for (const auto& [name, seen] : m_leaving_upstreams) {
+    if (now - seen < kLeavingLife) {
+      section[name] = (now - seen).count();
+    }
+  }
+  return section;
+}
+
+void Membership::TakeLeavingSection(const json& section) {
+  const Millis now = MonotonicNow();
   absl::MutexLock lock(&m_mutex);
-  members.push_back(m_self);
-  members.back().m_draining = m_draining;
+  for (const auto& [name, age] : section.items()) {
+    Millis& seen = m_leaving_upstreams[name];
+    seen = std::max(seen, now - Millis(age.get<int64_t>()));
+  }
+}
+
+std::vector<std::string> Membership::LeavingUpstreams() const {
+  const Millis now = MonotonicNow();
+  std::vector<std::string> names;
+  absl::MutexLock lock(&m_mutex);
+  for (const auto& [name, seen] : m_leaving_upstreams) {
+    if (now - seen < kLeavingLife) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::vector<Member> Membership::SortedMembers() const {
+  std::vector<Member> members;
+  Member self = m_self;
+  self.m_draining = m_draining;
+  self.m_leaving = m_self_leaving;
+  self.m_last_heard = MonotonicNow();
+  self.m_last_evidence = self.m_last_heard;
+  members.push_back(std::move(self));
   for (const auto& [id, peer] : m_peers) {
     members.push_back(peer->m_member);
   }
+  std::sort(members.begin(), members.end(),
+            [](const Member& left, const Member& right) {
+              return left.m_id < right.m_id;
+            });
   return members;
 }
 
+std::vector<Member> Membership::Known() const {
+  absl::MutexLock lock(&m_mutex);
+  return SortedMembers();
+}
+
 std::vector<Member> Membership::Live() const {
   const Millis now = MonotonicNow();
   std::vector<Member> members = Known();
-  std::erase_if(members, [&](const Member& member) {
-    return member.m_id != m_self.m_id &&
-           (member.m_last_heard == Millis(0) ||
-            now - member.m_last_heard > kSuspectAfter);
-  });
+  std::erase_if(members,
+                [now](const Member& member) { return !IsLive(member, now); });
+  return members;
+}
+
+std::vector<Member> Membership::Eligible() const {
+  std::vector<Member> members = Live();
+  std::erase_if(members, &IsLeaving);
   return members;
 }
 
@@ -220,15 +475,21 @@
              : std::optional<Member>(found->second->m_member);
 }
 
-bool Membership::HasMajorityContact(Millis window) const {
-  const Millis now = MonotonicNow();
+Millis Membership::LastMajorityContact() const {
+  std::vector<Millis> heard;
   absl::MutexLock lock(&m_mutex);
-  size_t heard = 1;
+  const bool direct_only = IsSmallFleet(m_peers.size());
   for (const auto& [id, peer] : m_peers) {
-    const Millis last = peer->m_member.m_last_heard;
-    heard += last != Millis(0) && now - last <= window ? 1 : 0;
+    heard.push_back(direct_only ? peer->m_member.m_last_heard
+                                : peer->m_member.m_last_evidence);
   }
-  return heard * 2 > m_peers.size() + 1;
+  // A VM that cannot read the list does not know that it is alone.
+  return MajorityContactTime(heard, m_list_read);
+}
+
+bool Membership::HasMajorityContact(Millis window) const {
+  const Millis last = LastMajorityContact();
+  return last != Millis(0) && MonotonicNow() - last <= window;
 }
 
 Result<json> Membership::Call(std::string_view id,
@@ -248,9 +509,4 @@
   return DecodeMessage(*answer);
 }
 
-std::vector<std::string> Membership::LeavingUpstreams() const {
-  absl::MutexLock lock(&m_mutex);
-  return m_leaving_upstreams;
-}
-
 }  // namespace bronzecross
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -62,7 +62,8 @@
 
 HttpCall MakeCall(const HttpRequest& request,
                   const PickedUpstream& upstream,
-                  Millis timeout) {
+                  Millis timeout,
+                  const CancelToken* cancel) {
   HttpCall call;
   call.m_method = request.m_method;
   call.m_url = absl::StrCat(upstream.m_url, request.m_path);
@@ -70,12 +71,15 @@
   call.m_body = request.m_body;
   call.m_timeout = timeout;
   call.m_watch_fd = request.m_client_fd;
+  call.m_cancel = cancel;
   return call;
 }
 
 // Whether the upstream is to blame for `error`.
 bool IsUpstreamFault(const Error& error) {
-  return error.m_code != ResultCode::kCancelled;
+  return error.m_code != ResultCode::kCancelled &&
+         error.m_code != ResultCode::kInvalidKey &&
+         error.m_code != ResultCode::kStaleConfig;
 }
 
 std::string ErrorEvent(const Error& error) {
@@ -88,11 +92,13 @@
                              Limiter& limiter,
                              UpstreamRegistry& upstreams,
                              HttpClient& http,
+                             KeyGuard& keys,
                              Millis request_timeout)
     : m_config(config),
       m_limiter(limiter),
       m_upstreams(upstreams),
       m_http(http),
+      m_keys(keys),
       m_request_timeout(request_timeout) {}
 
 Result<Caller> OnlineService::AdmitCaller(const HttpRequest& request,
@@ -157,11 +163,13 @@
   CountMetric("bronzecross_online_requests_total",
               {{"workspace", caller->m_workspace}});
   return stream ? CompleteStream(request, model, std::move(*caller))
-                : CompletePlain(request, model);
+                : CompletePlain(request, model, std::move(*caller));
 }
 
 HttpReply OnlineService::CompletePlain(const HttpRequest& request,
-                                       std::string_view model) {
+                                       std::string_view model,
+                                       Caller caller) {
+  const std::shared_ptr<GuardedCall> guard = m_keys.Watch(std::move(caller));
   const std::string id = RandomId();
   const Millis deadline = MonotonicNow() + m_request_timeout;
   std::vector<std::string> failed;
@@ -172,8 +180,8 @@
     if (!upstream) {
       return ErrorReply(failed.empty() ? upstream.error() : last);
     }
-    Result<HttpAnswer> answer =
-        m_http.Call(MakeCall(request, *upstream, deadline - MonotonicNow()));
+    Result<HttpAnswer> answer = m_http.Call(MakeCall(
+        request, *upstream, deadline - MonotonicNow(), &guard->m_cancel));
     if (answer && answer->m_status < kServerError) {
       m_upstreams.ReportOutcome(upstream->m_name, false);
       return PassAnswer(std::move(*answer));
@@ -182,7 +190,7 @@
                ? Error{ResultCode::kUpstreamFailed,
                        absl::StrCat("the upstream answered ", answer->m_status),
                        RunState::kUnknown}
-               : answer.error();
+               : guard->Explain(answer.error());
     if (!IsUpstreamFault(last)) {
       break;
     }
@@ -195,6 +203,7 @@
 HttpReply OnlineService::CompleteStream(const HttpRequest& request,
                                         std::string_view model,
                                         Caller caller) {
+  const std::shared_ptr<GuardedCall> guard = m_keys.Watch(std::move(caller));
   const std::string id = RandomId();
   const Millis deadline = MonotonicNow() + m_request_timeout;
   std::vector<std::string> failed;
@@ -204,13 +213,13 @@
     if (!upstream) {
       return ErrorReply(failed.empty() ? upstream.error() : last);
     }
-    Result<std::unique_ptr<HttpStream>> opened =
-        m_http.Open(MakeCall(request, *upstream, deadline - MonotonicNow()));
+    Result<std::unique_ptr<HttpStream>> opened = m_http.Open(MakeCall(
+        request, *upstream, deadline - MonotonicNow(), &guard->m_cancel));
     if (!opened || (*opened)->HttpStatus() >= kServerError) {
       last = opened ? Error{ResultCode::kUpstreamFailed,
                             "the upstream answered with an error",
                             RunState::kUnknown}
-                    : opened.error();
+                    : guard->Explain(opened.error());
       if (!IsUpstreamFault(last)) {
         break;
       }
@@ -219,26 +228,30 @@
       continue;
     }
     struct Flow {
+      // Declared first, as the stream watches its token to the end.
+      std::shared_ptr<GuardedCall> m_guard;
       std::unique_ptr<HttpStream> m_stream;
       PickedUpstream m_upstream;
-      Caller m_caller;
       StreamCheck m_check;
       std::string m_pending;
       bool m_cut = false;
+      bool m_upstream_failed = false;
     };
     const std::shared_ptr<Flow> flow = std::make_shared<Flow>();
     flow->m_stream = std::move(*opened);
     flow->m_upstream = std::move(*upstream);
-    flow->m_caller = std::move(caller);
+    flow->m_guard = guard;
     HttpReply reply;
     reply.m_status = flow->m_stream->HttpStatus();
     reply.m_headers = PassedHeaders(flow->m_stream->Headers());
     reply.m_reader = [this, flow](std::span<char> buffer) -> Result<size_t> {
       if (flow->m_pending.empty() && !flow->m_cut) {
         Result<std::string> piece = flow->m_stream->ReadSome();
-        if (piece && !IsKeyInForce(flow->m_caller, *m_config.Get())) {
-          piece =
-              FailMayHaveRun(ResultCode::kInvalidKey, "the key was withdrawn");
+        if (piece && flow->m_guard->m_cancel.IsCancelled()) {
+          piece = tl::unexpected<Error>(Error{ResultCode::kCancelled});
+        }
+        if (!piece) {
+          piece = tl::unexpected<Error>(flow->m_guard->Explain(piece.error()));
         }
         if (piece && piece->empty() && !flow->m_check.m_done &&
             flow->m_stream->HttpStatus() == 200) {
@@ -250,6 +263,7 @@
           flow->m_pending = std::move(*piece);
         } else {
           flow->m_cut = true;
+          flow->m_upstream_failed = IsUpstreamFault(piece.error());
           flow->m_pending = ErrorEvent(piece.error());
         }
         if (piece && flow->m_pending.empty()) {
@@ -258,7 +272,8 @@
         }
       }
       if (flow->m_pending.empty()) {
-        m_upstreams.ReportOutcome(flow->m_upstream.m_name, true);
+        m_upstreams.ReportOutcome(flow->m_upstream.m_name,
+                                  flow->m_upstream_failed);
         return Fail(ResultCode::kStreamCut, "the stream was cut");
       }
       const size_t count = std::min(buffer.size(), flow->m_pending.size());
@@ -287,11 +302,13 @@
              absl::StrCat("the route does not take ", request.m_method))
             .value());
   }
+  std::shared_ptr<GuardedCall> guard;
   if (!route->m_open) {
-    const Result<Caller> caller = AdmitCaller(request, *config);
+    Result<Caller> caller = AdmitCaller(request, *config);
     if (!caller) {
       return ErrorReply(caller.error());
     }
+    guard = m_keys.Watch(std::move(*caller));
   }
   const std::string id = RandomId();
   const Millis deadline = MonotonicNow() + Millis(route->m_timeout_ms);
@@ -303,11 +320,17 @@
     if (!upstream) {
       return ErrorReply(failed.empty() ? upstream.error() : last);
     }
-    HttpCall call = MakeCall(request, *upstream, deadline - MonotonicNow());
+    HttpCall call = MakeCall(request, *upstream, deadline - MonotonicNow(),
+                             guard != nullptr ? &guard->m_cancel : nullptr);
     call.m_fresh_connection = !route->m_idempotent;
     Result<HttpAnswer> answer = m_http.Call(call);
     const bool server_error = answer && answer->m_status >= kServerError;
-    m_upstreams.ReportOutcome(upstream->m_name, !answer || server_error);
+    if (!answer && guard != nullptr) {
+      answer = tl::unexpected<Error>(guard->Explain(answer.error()));
+    }
+    m_upstreams.ReportOutcome(
+        upstream->m_name,
+        server_error || (!answer && IsUpstreamFault(answer.error())));
     if (answer && (!server_error || !route->m_idempotent)) {
       return PassAnswer(std::move(*answer));
     }
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -10,6 +10,7 @@
 #include "http/http_message.h"
 #include "limits/limiter.h"
 #include "online/authenticator.h"
+#include "online/key_guard.h"
 #include "upstreams/upstream_registry.h"
 
 namespace bronzecross {
@@ -20,6 +21,7 @@
                 Limiter& limiter,
                 UpstreamRegistry& upstreams,
                 HttpClient& http,
+                KeyGuard& keys,
                 Millis request_timeout);
 
   // POST /v1/chat/completions and /v1/completions.
@@ -33,7 +35,9 @@
   // Finds the caller and takes one token of its workspace.
   Result<Caller> AdmitCaller(const HttpRequest& request,
                              const ConfigSnapshot& config);
-  HttpReply CompletePlain(const HttpRequest& request, std::string_view model);
+  HttpReply CompletePlain(const HttpRequest& request,
+                          std::string_view model,
+                          Caller caller);
   HttpReply CompleteStream(const HttpRequest& request,
                            std::string_view model,
                            Caller caller);
@@ -42,6 +46,7 @@
   Limiter& m_limiter;
   UpstreamRegistry& m_upstreams;
   HttpClient& m_http;
+  KeyGuard& m_keys;
   const Millis m_request_timeout;
 };
 
--- a/packages/store/kv_client.cc
+++ b/packages/store/kv_client.cc
@@ -128,10 +128,14 @@
   return std::optional<KvEntry>(ToEntry(kvs->front()));
 }
 
-Result<KvRange> KvClient::List(std::string_view prefix) {
-  const Result<json> answer =
-      Post("/v3/kv/range", {{"key", Base64Encode(prefix)},
-                            {"range_end", Base64Encode(PrefixEnd(prefix))}});
+Result<KvRange> KvClient::List(std::string_view prefix,
+                               int64_t min_mod_revision) {
+  json request = {{"key", Base64Encode(prefix)},
+                  {"range_end", Base64Encode(PrefixEnd(prefix))}};
+  if (min_mod_revision > 0) {
+    request["min_mod_revision"] = std::to_string(min_mod_revision);
+  }
+  const Result<json> answer = Post("/v3/kv/range", request);
   if (!answer) {
     return tl::unexpected<Error>(answer.error());
   }
--- a/packages/store/kv_client.h
+++ b/packages/store/kv_client.h
@@ -56,8 +56,9 @@
 
   // The entry under `key`, or nothing if there is none.
   Result<std::optional<KvEntry>> Get(std::string_view key);
-  // All entries whose key starts with `prefix`, in key order.
-  Result<KvRange> List(std::string_view prefix);
+  // All entries whose key starts with `prefix`, in key order; without those
+  // whose mod revision is lower than `min_mod_revision`.
+  Result<KvRange> List(std::string_view prefix, int64_t min_mod_revision = 0);
 
   // Applies all `writes` or none. Returns the new revision; fails with
   // kConflict if one key's revision is not the expected one. Values must differ
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -7,6 +7,7 @@
 
 #include "admin_server.h"
 #include "base/log.h"
+#include "fresh_gate.h"
 #include "peers/h2_socket.h"
 #include "request_router.h"
 
@@ -26,9 +27,17 @@
   options.m_vm_list_url = settings.m_vm_list_url;
   options.m_vm_list_poll = settings.m_vm_list_poll;
   options.m_heartbeat_interval = settings.m_heartbeat_interval;
+  options.m_max_heartbeats_per_s = settings.m_max_heartbeats_per_s;
   return options;
 }
 
+// The cached manifest in the data folder; empty on a VM without one.
+std::string MakeCachePath(const Settings& settings) {
+  return settings.m_data_dir.empty()
+             ? ""
+             : settings.m_data_dir + "/manifest-cache.json";
+}
+
 HttpServerOptions MakeCallerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.m_address = settings.m_http_address;
@@ -56,17 +65,25 @@
                    m_peer_client),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
+      m_key_guard(m_config, [this] { return m_distributor.IsFresh(); }),
       m_online(m_config,
                m_limiter,
                m_upstreams,
                m_http,
+               m_key_guard,
                settings.m_request_timeout),
       m_batch(m_config, m_store, m_upstreams, m_http, settings.m_store_prefix),
-      m_config_follower(m_config,
-                        m_store,
-                        settings.m_store_prefix + "manifest"),
-      m_caller_server(MakeCallerOptions(settings),
-                      MakeCallerHandlers(m_settings, m_online, m_batch)),
+      m_distributor(m_config,
+                    m_store,
+                    m_membership,
+                    m_peer_server,
+                    settings.m_store_prefix + "manifest",
+                    MakeCachePath(settings)),
+      m_caller_server(
+          MakeCallerOptions(settings),
+          GateStaleConfig(MakeCallerHandlers(m_settings, m_online, m_batch),
+                          m_config,
+                          [this] { return m_distributor.IsFresh(); })),
       m_admin_server(MakeAdminOptions(settings),
                      MakeAdminHandlers({[this] { return IsReady(); },
                                         [this] { return MakeStatus(); }})) {}
@@ -78,9 +95,10 @@
       return started;
     }
   }
-  m_config_follower.Start();
+  m_distributor.Start();
   m_membership.Start();
   m_upstreams.Start();
+  m_key_guard.Start();
   const json record = {{"id", m_settings.m_vm_id},
                        {"zone", m_settings.m_availability_zone},
                        {"incarnation", m_membership.Self().m_incarnation},
@@ -121,7 +139,7 @@
 }
 
 bool Daemon::IsReady() const {
-  return !m_draining && m_config.Get()->Generation() > 0;
+  return !m_draining && m_distributor.IsFresh();
 }
 
 json Daemon::MakeStatus() const {
@@ -129,12 +147,21 @@
   for (const Member& member : m_membership.Live()) {
     live.push_back(member.m_id);
   }
+  json members = json::array();
+  for (const Member& member : m_membership.Known()) {
+    members.push_back({{"id", member.m_id},
+                       {"incarnation", member.m_incarnation},
+                       {"leaving", IsLeaving(member)}});
+  }
   return {{"vm", m_settings.m_vm_id},
           {"zone", m_settings.m_availability_zone},
           {"ready", IsReady()},
           {"draining", m_draining.load()},
           {"generation", m_config.Get()->Generation()},
           {"live", live},
+          {"members", members},
+          {"leaving_upstreams", m_membership.LeavingUpstreams()},
+          {"config", m_distributor.MakeStatus()},
           {"lease_held", m_vm_lease != nullptr && m_vm_lease->IsHeld()},
           {"store_calls", m_store.Calls()},
           {"peer_bytes", PeerBytesTotal()},
@@ -154,9 +181,10 @@
     SleepFor(kDrainPoll);
   }
   m_caller_server.Stop();
+  m_key_guard.Stop();
   m_batch.Stop();
   m_vm_lease->Stop();
-  m_config_follower.Stop();
+  m_distributor.Stop();
   m_upstreams.Stop();
   m_membership.Stop();
   m_peer_server.Stop();
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -11,11 +11,12 @@
 #include "batch/batch_service.h"
 #include "config/config_holder.h"
 #include "config/settings.h"
-#include "config_follower.h"
+#include "distribution/config_distributor.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "limits/limiter.h"
 #include "membership/membership.h"
+#include "online/key_guard.h"
 #include "online/online_service.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
@@ -49,9 +50,10 @@
   Membership m_membership;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
+  KeyGuard m_key_guard;
   OnlineService m_online;
   BatchService m_batch;
-  ConfigFollower m_config_follower;
+  ConfigDistributor m_distributor;
   // Made in Start(), as its record holds the bound addresses.
   std::unique_ptr<VmLease> m_vm_lease;
   HttpServer m_caller_server;
--- a/standins/kv_standin.cc
+++ b/standins/kv_standin.cc
@@ -155,6 +155,9 @@
       break;
     }
     const Entry& entry = it->second;
+    if (entry.m_mod_revision < GetNumber(body, "min_mod_revision")) {
+      continue;
+    }
     json kv = {{"key", Base64Encode(it->first)},
                {"value", Base64Encode(entry.m_value)},
                {"create_revision", std::to_string(entry.m_create_revision)},
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -48,6 +48,7 @@
   int VmCount() const { return m_options.m_vms; }
   std::string Url(int vm) const;
   std::string AdminUrl(int vm) const;
+  int64_t PeerPort(int vm) const { return m_vms[vm]->m_peer; }
   static std::string VmId(int vm) { return "vm-" + std::to_string(vm); }
   // "key-<i>" is the key of workspace "ws-<i>".
   static std::string Key(int workspace) {
