--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -1,6 +1,8 @@
 #include "http/http_server.h"
 
 #include <microhttpd.h>
+#include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <absl/strings/numbers.h>
@@ -87,6 +89,7 @@
     Exchange* exchange = new Exchange;
     exchange->m_server = server;
     ++server->m_active;
+    server->NoteActivity();
     HttpRequest& request = exchange->m_request;
     request.m_method = method;
     request.m_path = url;
@@ -242,8 +245,18 @@
     }
     delete exchange;
     *context = nullptr;
+    server->NoteActivity();
     --server->m_active;
   }
+
+  static void OnConnection(void* self,
+                           MHD_Connection*,
+                           void**,
+                           MHD_ConnectionNotificationCode code) {
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      static_cast<HttpServer*>(self)->NoteActivity();
+    }
+  }
 };
 
 HttpServer::HttpServer(HttpServerOptions options, HttpHandlers handlers)
@@ -264,7 +277,8 @@
           MHD_USE_POLL | MHD_USE_ITC,
       0, nullptr, nullptr, &Callbacks::OnRequest, this,
       MHD_OPTION_LISTEN_SOCKET, m_listen_fd, MHD_OPTION_NOTIFY_COMPLETED,
-      &Callbacks::OnCompleted, this, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      &Callbacks::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+      &Callbacks::OnConnection, this, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       static_cast<size_t>(m_options.m_max_header_bytes) + 2 * kReplyBlockBytes,
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned int>(m_options.m_max_connections),
@@ -283,10 +297,29 @@
 void HttpServer::StopListening() {
   if (m_daemon != nullptr && m_listening.exchange(false)) {
     MHD_quiesce_daemon(m_daemon);
+    AcceptWaiting();
     close(m_listen_fd);
   }
 }
 
+void HttpServer::AcceptWaiting() {
+  // Closing the listener resets the connections in its queue, whose callers may
+  // have sent a request.
+  pollfd waiting{m_listen_fd, POLLIN, 0};
+  while (poll(&waiting, 1, 0) > 0) {
+    sockaddr_storage address = {};
+    socklen_t size = sizeof(address);
+    const int fd = accept4(m_listen_fd, reinterpret_cast<sockaddr*>(&address),
+                           &size, SOCK_CLOEXEC);
+    if (fd < 0) {
+      return;
+    }
+    // The daemon closes the socket where it cannot serve it.
+    MHD_add_connection(m_daemon, fd, reinterpret_cast<sockaddr*>(&address),
+                       size);
+  }
+}
+
 void HttpServer::Stop() {
   if (m_daemon == nullptr) {
     return;
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -41,7 +41,8 @@
 
   // From now on each reply asks the caller to close its connection.
   void AnnounceClose() { m_announce_close = true; }
-  // Stops listening; open connections go on.
+  // Stops listening. Open connections go on, and those that callers have
+  // already been granted by the system are served as well.
   void StopListening();
   // Closes all connections and waits for their threads.
   void Stop();
@@ -49,8 +50,13 @@
   // Requests whose reply is not yet written in full.
   int ActiveRequests() const { return m_active; }
   int OpenConnections() const;
+  // When a connection was last accepted, or a request last begun or ended.
+  Millis LastActivity() const { return Millis(m_last_activity); }
 
  private:
+  void AcceptWaiting();
+  void NoteActivity() { m_last_activity = MonotonicNow().count(); }
+
   struct Exchange;
   struct Callbacks;
   friend struct Callbacks;
@@ -63,6 +69,7 @@
   std::atomic<int> m_active = 0;
   std::atomic<bool> m_announce_close = false;
   std::atomic<bool> m_listening = false;
+  std::atomic<int64_t> m_last_activity = 0;
 };
 
 }  // namespace bronzecross
--- a/packages/membership/digest_test.cc
+++ b/packages/membership/digest_test.cc
@@ -6,7 +6,7 @@
 namespace bronzecross {
 namespace {
 
-const Millis kNow(100'000);
+constexpr Millis kNow(100'000);
 
 std::vector<Member> MakeMembers(int count) {
   std::vector<Member> members;
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -17,6 +17,7 @@
 using nlohmann::json;
 
 constexpr Millis kDrainPoll{20};
+constexpr Millis kDrainQuiet{1000};
 
 MembershipOptions MakeMembershipOptions(const Settings& settings) {
   MembershipOptions options;
@@ -168,6 +169,14 @@
           {"active_requests", m_caller_server.ActiveRequests()}};
 }
 
+// A connection that is idle may carry a request that is on its way, so idle
+// ones are closed only when none has been used for a while.
+bool Daemon::IsQuiet() const {
+  return m_caller_server.ActiveRequests() == 0 &&
+         (m_caller_server.OpenConnections() == 0 ||
+          MonotonicNow() - m_caller_server.LastActivity() >= kDrainQuiet);
+}
+
 void Daemon::Drain() {
   Log(Severity::kInfo, LogPart::kMain, "Draining.",
       {{"active", m_caller_server.ActiveRequests()}});
@@ -177,9 +186,12 @@
   SleepFor(m_settings.m_drain_notice);
   m_caller_server.StopListening();
   const Millis deadline = MonotonicNow() + m_settings.m_drain_timeout;
-  while (m_caller_server.ActiveRequests() > 0 && MonotonicNow() < deadline) {
+  while (!IsQuiet() && MonotonicNow() < deadline) {
     SleepFor(kDrainPoll);
   }
+  Log(Severity::kInfo, LogPart::kMain, "Closing the callers' connections.",
+      {{"active", m_caller_server.ActiveRequests()},
+       {"open", m_caller_server.OpenConnections()}});
   m_caller_server.Stop();
   m_key_guard.Stop();
   m_batch.Stop();
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -38,6 +38,7 @@
  private:
   Status WritePortFile() const;
   bool IsReady() const;
+  bool IsQuiet() const;
   nlohmann::json MakeStatus() const;
 
   const Settings m_settings;
--- a/tests/harness/caller.cc
+++ b/tests/harness/caller.cc
@@ -60,6 +60,7 @@
   const Result<std::unique_ptr<HttpStream>> stream = m_http.Open(call);
   if (!stream) {
     outcome.m_error_code = GetResultCodeInfo(stream.error().m_code).m_name;
+    outcome.m_run = RunStateName(stream.error().m_run);
     return outcome;
   }
   outcome.m_run = FindHeader((*stream)->Headers(), kRunHeader);
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -27,7 +27,8 @@
   int m_status = 0;
   // Whether the text is exactly the engine's answer to this prompt.
   bool m_correct = false;
-  // "not_run", "unknown" or empty.
+  // "not_run", "unknown" or empty; of a lost connection, whether a byte of the
+  // request was sent.
   std::string m_run;
   std::string m_error_code;
   double m_latency_ms = 0;
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -195,7 +195,8 @@
       m_folder, "/", VmId(vm), ".ports\"\n[store]\nendpoints = [\"",
       slot.m_store_proxy != nullptr ? slot.m_store_proxy->Url() : m_kv.Url(),
       "\"]\n[vm_list]\nurl = \"", m_vm_list.UrlFor(VmId(vm)),
-      "\"\npoll_ms = 200\n", m_options.m_settings, "\n");
+      "\"\npoll_ms = ", m_options.m_vm_list_poll_ms, "\n", m_options.m_settings,
+      "\n");
   return text;
 }
 
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -31,6 +31,7 @@
   // Stands a proxy before each VM's peer port for each viewer, and between each
   // VM and the store.
   bool m_proxies = false;
+  int64_t m_vm_list_poll_ms = 200;
   // Further TOML for each VM's settings, for example "[log]\nlevel = ...".
   std::string m_settings;
   uint64_t m_seed = 1;
--- a/tests/integration/config_spread_test.cc
+++ b/tests/integration/config_spread_test.cc
@@ -103,6 +103,7 @@
   ClusterOptions options;
   for (EngineOptions& engine : options.m_engines) {
     engine.m_prefill = Millis(20'000);
+    engine.m_cached_prefill = engine.m_prefill;
   }
   Cluster cluster(options);
   for (const bool stream : {true, false}) {
--- a/tests/integration/membership_test.cc
+++ b/tests/integration/member_loss_test.cc
@@ -67,7 +67,6 @@
 TEST_CASE("a heartbeat of an earlier incarnation is ignored") {
   Cluster cluster({});
   PeerClient client;
-  const json members = cluster.Status(0)["members"];
   const NetAddress target{"127.0.0.1",
                           static_cast<uint16_t>(cluster.PeerPort(0))};
   // Flag 1 says draining.
@@ -78,7 +77,8 @@
                        Millis(1000));
   };
   REQUIRE(send(1).has_value());
-  for (const json& member : cluster.Status(0)["members"]) {
+  const json status = cluster.Status(0);
+  for (const json& member : status["members"]) {
     CHECK(member["leaving"] == false);
     CHECK(member["incarnation"].get<int64_t>() > 1);
   }
