--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -14,6 +14,7 @@
 #include "distribution/config_distributor.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "ledger/replicated_ledger.h"
 #include "limits/limiter.h"
 #include "membership/membership.h"
 #include "online/key_guard.h"
@@ -49,6 +50,7 @@
   PeerServer m_peer_server;
   PeerClient m_peer_client;
   Membership m_membership;
+  ReplicatedLedger m_ledger;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   KeyGuard m_key_guard;
--- a/tests/measure/measure_control.cc
+++ b/tests/measure/measure_control.cc
@@ -82,7 +82,7 @@
   return 0;
 }
 
-const MeasurementRegistration g_registration("control", MeasureControl);
+const MeasurementRegistration kRegistration("control", MeasureControl);
 
 }  // namespace
 }  // namespace bronzecross
--- a/tests/measure/measure_drain.cc
+++ b/tests/measure/measure_drain.cc
@@ -185,7 +185,7 @@
   return 0;
 }
 
-const MeasurementRegistration g_registration("drain", MeasureDrain);
+const MeasurementRegistration kRegistration("drain", MeasureDrain);
 
 }  // namespace
 }  // namespace bronzecross
