--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -51,7 +51,12 @@
 
   // [online]
   Millis m_request_timeout;
+  // Requests of one workspace that may wait for a full model or service.
   int64_t m_max_queue = 0;
+  // How upstreams that refuse or fail are treated, see docs/throttle.md.
+  bool m_wait_out_retry_after = true;
+  bool m_cache_refusals = true;
+  bool m_count_every_5xx = true;
 
   // [membership]
   Millis m_heartbeat_interval;
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -2,84 +2,85 @@
 
 #include <algorithm>
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
-#include "base/log.h"
 #include "base/metrics.h"
 #include "base/random.h"
 #include "http/http_error_reply.h"
-#include "online/stream_check.h"
+#include "online/completion_stream.h"
+#include "online/passed_headers.h"
 
 namespace bronzecross {
 namespace {
 
 using nlohmann::json;
 
-constexpr size_t kMaxAttempts = 3;
-constexpr int kServerError = 500;
-
-// Headers that concern one connection, or the caller's key, and are not passed
-// on.
-bool IsHopHeader(std::string_view name) {
-  constexpr std::string_view kHop[] = {"authorization",
-                                       "connection",
-                                       "content-length",
-                                       "expect",
-                                       "host",
-                                       "keep-alive",
-                                       "te",
-                                       "trailer",
-                                       "transfer-encoding",
-                                       "upgrade",
-                                       "proxy-authorization"};
-  return std::any_of(std::begin(kHop), std::end(kHop),
-                     [name](std::string_view hop) {
-                       return absl::EqualsIgnoreCase(
-                           absl::string_view(hop.data(), hop.size()),
-                           absl::string_view(name.data(), name.size()));
-                     });
-}
-
-std::vector<HttpHeader> PassedHeaders(std::span<const HttpHeader> headers) {
-  std::vector<HttpHeader> passed;
-  for (const HttpHeader& header : headers) {
-    if (!IsHopHeader(header.m_name)) {
-      passed.push_back(header);
-    }
-  }
-  return passed;
-}
+constexpr int kOkStatus = 200;
 
 HttpReply PassAnswer(HttpAnswer answer) {
   HttpReply reply;
   reply.m_status = answer.m_status;
-  reply.m_headers = PassedHeaders(answer.m_headers);
+  reply.m_headers = std::move(answer.m_headers);
   reply.m_body = std::move(answer.m_body);
   return reply;
 }
 
-HttpCall MakeCall(const HttpRequest& request,
-                  const PickedUpstream& upstream,
-                  Millis timeout) {
-  HttpCall call;
-  call.m_method = request.m_method;
-  call.m_url = absl::StrCat(upstream.m_url, request.m_path);
-  call.m_headers = PassedHeaders(request.m_headers);
-  call.m_body = request.m_body;
-  call.m_timeout = timeout;
-  call.m_watch_fd = request.m_client_fd;
-  return call;
+HttpReply Refuse(ResultCode code, std::string_view message) {
+  return ErrorReply(Fail(code, message).value());
+}
+
+// The text that an engine's prefix cache sees, in order.
+std::string PromptText(const json& body) {
+  const auto prompt = body.find("prompt");
+  if (prompt != body.end() && prompt->is_string()) {
+    return prompt->get<std::string>();
+  }
+  std::string text;
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array()) {
+    return text;
+  }
+  for (const json& message : *messages) {
+    if (message.is_object() && message.contains("content") &&
+        message["content"].is_string()) {
+      text += message["content"].get_ref<const std::string&>();
+    }
+  }
+  return text;
+}
+
+// The parsed body of a completion, or an error that says what is wrong.
+Result<json> ParseCompletion(const HttpRequest& request,
+                             const ConfigSnapshot& config) {
+  json body = json::parse(request.m_body, nullptr, false);
+  if (body.is_discarded() || !body.is_object() || !body.contains("model") ||
+      !body["model"].is_string()) {
+    return Fail(ResultCode::kMalformedBody,
+                "the body must be a JSON object with a string \"model\"");
+  }
+  const std::string model = body["model"];
+  if (config.FindModel(model) == nullptr) {
+    return Fail(ResultCode::kUnknownModel,
+                absl::StrCat("there is no model \"", model, "\""));
+  }
+  return body;
 }
 
-// Whether the upstream is to blame for `error`.
-bool IsUpstreamFault(const Error& error) {
-  return error.m_code != ResultCode::kCancelled;
+// Sets the plan's deadline from the caller's header.
+Status SetDeadline(AttemptPlan& plan, Millis highest) {
+  const Result<Millis> allowed = AllowedTime(*plan.m_request, highest);
+  if (!allowed) {
+    return tl::unexpected<Error>(allowed.error());
+  }
+  plan.m_deadline = MonotonicNow() + *allowed;
+  plan.m_short_deadline = *allowed < highest;
+  return {};
 }
 
-std::string ErrorEvent(const Error& error) {
-  return absl::StrCat("event: error\ndata: ", ErrorBody(error), "\n\n");
+bool WantsStream(const json& body) {
+  return body.contains("stream") && body["stream"].is_boolean() &&
+         body["stream"];
 }
 
 }  // namespace
@@ -87,13 +88,12 @@
 OnlineService::OnlineService(ConfigHolder& config,
                              Limiter& limiter,
                              UpstreamRegistry& upstreams,
+                             CrashGuard& crashes,
                              HttpClient& http,
-                             Millis request_timeout)
+                             const OnlineOptions& options)
     : m_config(config),
       m_limiter(limiter),
-      m_upstreams(upstreams),
-      m_http(http),
-      m_request_timeout(request_timeout) {}
+      m_shared(upstreams, http, crashes, options) {}
 
 Result<Caller> OnlineService::AdmitCaller(const HttpRequest& request,
                                           const ConfigSnapshot& config) {
@@ -134,196 +134,96 @@
   if (!key) {
     return ErrorReply(key.error());
   }
-  const json body = json::parse(request.m_body, nullptr, false);
-  if (body.is_discarded() || !body.is_object() || !body.contains("model") ||
-      !body["model"].is_string()) {
-    return ErrorReply(
-        Fail(ResultCode::kMalformedBody,
-             "the body must be a JSON object with a string \"model\"")
-            .value());
+  Result<json> body = ParseCompletion(request, *config);
+  if (!body) {
+    return ErrorReply(body.error());
   }
-  const std::string model = body["model"];
-  if (config->FindModel(model) == nullptr) {
-    return ErrorReply(Fail(ResultCode::kUnknownModel,
-                           absl::StrCat("there is no model \"", model, "\""))
-                          .value());
+  AttemptPlan plan;
+  plan.m_request = &request;
+  const Status deadline =
+      SetDeadline(plan, m_shared.Options().m_request_timeout);
+  if (!deadline) {
+    return ErrorReply(deadline.error());
   }
   Result<Caller> caller = AdmitCaller(request, *config);
   if (!caller) {
     return ErrorReply(caller.error());
   }
-  const bool stream =
-      body.contains("stream") && body["stream"].is_boolean() && body["stream"];
   CountMetric("bronzecross_online_requests_total",
               {{"workspace", caller->m_workspace}});
-  return stream ? CompleteStream(request, model, std::move(*caller))
-                : CompletePlain(request, model);
+  plan.m_id = RandomId();
+  plan.m_workspace = caller->m_workspace;
+  plan.m_model = (*body)["model"];
+  plan.m_prefixes = PrefixHashes(PromptText(*body));
+  plan.m_fingerprint = RequestFingerprint(caller->m_workspace, *body);
+  return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body),
+                                             std::move(*caller))
+                            : CompletePlain(std::move(plan));
 }
 
-HttpReply OnlineService::CompletePlain(const HttpRequest& request,
-                                       std::string_view model) {
-  const std::string id = RandomId();
-  const Millis deadline = MonotonicNow() + m_request_timeout;
-  std::vector<std::string> failed;
-  Error last{ResultCode::kNoUpstream, "no upstream could serve the request"};
-  while (failed.size() < kMaxAttempts && MonotonicNow() < deadline) {
-    const Result<PickedUpstream> upstream =
-        m_upstreams.Pick({model, "", failed}, id);
-    if (!upstream) {
-      return ErrorReply(failed.empty() ? upstream.error() : last);
-    }
-    Result<HttpAnswer> answer =
-        m_http.Call(MakeCall(request, *upstream, deadline - MonotonicNow()));
-    if (answer && answer->m_status < kServerError) {
-      m_upstreams.ReportOutcome(upstream->m_name, false);
-      return PassAnswer(std::move(*answer));
-    }
-    last = answer
-               ? Error{ResultCode::kUpstreamFailed,
-                       absl::StrCat("the upstream answered ", answer->m_status),
-                       RunState::kUnknown}
-               : answer.error();
-    if (!IsUpstreamFault(last)) {
-      break;
-    }
-    m_upstreams.ReportOutcome(upstream->m_name, true);
-    failed.push_back(upstream->m_name);
-  }
-  return ErrorReply(last);
+HttpReply OnlineService::CompletePlain(AttemptPlan plan) {
+  Result<HttpAnswer> answer = Attempts(m_shared, std::move(plan)).Run();
+  return answer ? PassAnswer(std::move(*answer)) : ErrorReply(answer.error());
 }
 
-HttpReply OnlineService::CompleteStream(const HttpRequest& request,
-                                        std::string_view model,
+HttpReply OnlineService::CompleteStream(AttemptPlan plan,
+                                        json body,
                                         Caller caller) {
-  const std::string id = RandomId();
-  const Millis deadline = MonotonicNow() + m_request_timeout;
-  std::vector<std::string> failed;
-  Error last{ResultCode::kNoUpstream, "no upstream could serve the request"};
-  while (failed.size() < kMaxAttempts && MonotonicNow() < deadline) {
-    Result<PickedUpstream> upstream = m_upstreams.Pick({model, "", failed}, id);
-    if (!upstream) {
-      return ErrorReply(failed.empty() ? upstream.error() : last);
-    }
-    Result<std::unique_ptr<HttpStream>> opened =
-        m_http.Open(MakeCall(request, *upstream, deadline - MonotonicNow()));
-    if (!opened || (*opened)->HttpStatus() >= kServerError) {
-      last = opened ? Error{ResultCode::kUpstreamFailed,
-                            "the upstream answered with an error",
-                            RunState::kUnknown}
-                    : opened.error();
-      if (!IsUpstreamFault(last)) {
-        break;
-      }
-      m_upstreams.ReportOutcome(upstream->m_name, true);
-      failed.push_back(upstream->m_name);
-      continue;
-    }
-    struct Flow {
-      std::unique_ptr<HttpStream> m_stream;
-      PickedUpstream m_upstream;
-      Caller m_caller;
-      StreamCheck m_check;
-      std::string m_pending;
-      bool m_cut = false;
-    };
-    const std::shared_ptr<Flow> flow = std::make_shared<Flow>();
-    flow->m_stream = std::move(*opened);
-    flow->m_upstream = std::move(*upstream);
-    flow->m_caller = std::move(caller);
-    HttpReply reply;
-    reply.m_status = flow->m_stream->HttpStatus();
-    reply.m_headers = PassedHeaders(flow->m_stream->Headers());
-    reply.m_reader = [this, flow](std::span<char> buffer) -> Result<size_t> {
-      if (flow->m_pending.empty() && !flow->m_cut) {
-        Result<std::string> piece = flow->m_stream->ReadSome();
-        if (piece && !IsKeyInForce(flow->m_caller, *m_config.Get())) {
-          piece =
-              FailMayHaveRun(ResultCode::kInvalidKey, "the key was withdrawn");
-        }
-        if (piece && piece->empty() && !flow->m_check.m_done &&
-            flow->m_stream->HttpStatus() == 200) {
-          piece = FailMayHaveRun(ResultCode::kStreamCut,
-                                 "the upstream's stream ended early");
-        }
-        if (piece) {
-          FollowStream(flow->m_check, *piece);
-          flow->m_pending = std::move(*piece);
-        } else {
-          flow->m_cut = true;
-          flow->m_pending = ErrorEvent(piece.error());
-        }
-        if (piece && flow->m_pending.empty()) {
-          m_upstreams.ReportOutcome(flow->m_upstream.m_name, false);
-          return 0;
-        }
-      }
-      if (flow->m_pending.empty()) {
-        m_upstreams.ReportOutcome(flow->m_upstream.m_name, true);
-        return Fail(ResultCode::kStreamCut, "the stream was cut");
-      }
-      const size_t count = std::min(buffer.size(), flow->m_pending.size());
-      std::copy_n(flow->m_pending.begin(), count, buffer.begin());
-      flow->m_pending.erase(0, count);
-      return count;
+  Attempts attempts(m_shared, std::move(plan));
+  Result<Attempt> attempt = attempts.Open();
+  if (!attempt) {
+    return ErrorReply(attempt.error());
+  }
+  HttpReply reply;
+  reply.m_status = attempt->m_stream->HttpStatus();
+  reply.m_headers = PassedHeaders(attempt->m_stream->Headers());
+  if (reply.m_status != kOkStatus) {
+    const std::shared_ptr<Attempt> refusal =
+        std::make_shared<Attempt>(std::move(*attempt));
+    reply.m_reader = [refusal](std::span<char> buffer) {
+      return refusal->m_stream->Read(buffer);
     };
     return reply;
   }
-  return ErrorReply(last);
+  const std::shared_ptr<CompletionStream> stream =
+      std::make_shared<CompletionStream>(m_config, std::move(caller),
+                                         std::move(body), std::move(attempts),
+                                         std::move(*attempt));
+  reply.m_reader = [stream](std::span<char> buffer) {
+    return stream->Read(buffer);
+  };
+  return reply;
 }
 
 HttpReply OnlineService::CallService(const HttpRequest& request) {
   const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
   const RouteSpec* route = config->FindRoute(request.m_path);
   if (route == nullptr) {
-    return ErrorReply(
-        Fail(ResultCode::kUnknownRoute,
-             absl::StrCat("there is no route for ", request.m_path))
-            .value());
+    return Refuse(ResultCode::kUnknownRoute,
+                  absl::StrCat("there is no route for ", request.m_path));
   }
   if (std::find(route->m_methods.begin(), route->m_methods.end(),
                 request.m_method) == route->m_methods.end()) {
-    return ErrorReply(
-        Fail(ResultCode::kMethodNotAllowed,
-             absl::StrCat("the route does not take ", request.m_method))
-            .value());
+    return Refuse(ResultCode::kMethodNotAllowed,
+                  absl::StrCat("the route does not take ", request.m_method));
+  }
+  AttemptPlan plan;
+  plan.m_request = &request;
+  const Status deadline = SetDeadline(plan, Millis(route->m_timeout_ms));
+  if (!deadline) {
+    return ErrorReply(deadline.error());
   }
   if (!route->m_open) {
     const Result<Caller> caller = AdmitCaller(request, *config);
     if (!caller) {
       return ErrorReply(caller.error());
     }
+    plan.m_workspace = caller->m_workspace;
   }
-  const std::string id = RandomId();
-  const Millis deadline = MonotonicNow() + Millis(route->m_timeout_ms);
-  std::vector<std::string> failed;
-  Error last{ResultCode::kNoUpstream, "no upstream could serve the request"};
-  while (failed.size() < kMaxAttempts && MonotonicNow() < deadline) {
-    const Result<PickedUpstream> upstream =
-        m_upstreams.Pick({"", route->m_service, failed}, id);
-    if (!upstream) {
-      return ErrorReply(failed.empty() ? upstream.error() : last);
-    }
-    HttpCall call = MakeCall(request, *upstream, deadline - MonotonicNow());
-    call.m_fresh_connection = !route->m_idempotent;
-    Result<HttpAnswer> answer = m_http.Call(call);
-    const bool server_error = answer && answer->m_status >= kServerError;
-    m_upstreams.ReportOutcome(upstream->m_name, !answer || server_error);
-    if (answer && (!server_error || !route->m_idempotent)) {
-      return PassAnswer(std::move(*answer));
-    }
-    last = answer
-               ? Error{ResultCode::kUpstreamFailed,
-                       absl::StrCat("the upstream answered ", answer->m_status),
-                       RunState::kUnknown}
-               : answer.error();
-    // A non-idempotent request goes elsewhere only if no byte of it was sent.
-    if (!IsUpstreamFault(last) ||
-        (!route->m_idempotent && last.m_run == RunState::kUnknown)) {
-      break;
-    }
-    failed.push_back(upstream->m_name);
-  }
-  return ErrorReply(last);
+  plan.m_id = RandomId();
+  plan.m_service = route->m_service;
+  plan.m_idempotent = route->m_idempotent;
+  return CompletePlain(std::move(plan));
 }
 
 }  // namespace bronzecross
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -5,11 +5,15 @@
 
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "config/config_holder.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
 #include "limits/limiter.h"
+#include "online/attempts.h"
 #include "online/authenticator.h"
+#include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
 
 namespace bronzecross {
@@ -19,8 +23,9 @@
   OnlineService(ConfigHolder& config,
                 Limiter& limiter,
                 UpstreamRegistry& upstreams,
+                CrashGuard& crashes,
                 HttpClient& http,
-                Millis request_timeout);
+                const OnlineOptions& options);
 
   // POST /v1/chat/completions and /v1/completions.
   HttpReply Complete(const HttpRequest& request);
@@ -33,16 +38,14 @@
   // Finds the caller and takes one token of its workspace.
   Result<Caller> AdmitCaller(const HttpRequest& request,
                              const ConfigSnapshot& config);
-  HttpReply CompletePlain(const HttpRequest& request, std::string_view model);
-  HttpReply CompleteStream(const HttpRequest& request,
-                           std::string_view model,
+  HttpReply CompletePlain(AttemptPlan plan);
+  HttpReply CompleteStream(AttemptPlan plan,
+                           nlohmann::json body,
                            Caller caller);
 
   ConfigHolder& m_config;
   Limiter& m_limiter;
-  UpstreamRegistry& m_upstreams;
-  HttpClient& m_http;
-  const Millis m_request_timeout;
+  AttemptShared m_shared;
 };
 
 }  // namespace bronzecross
--- /dev/null
+++ b/packages/routing/retry_budget.cc
@@ -0,0 +1,37 @@
+#include "routing/retry_budget.h"
+
+#include <cmath>
+
+namespace bronzecross {
+namespace {
+
+constexpr double kWindowSeconds = 10;
+constexpr double kShare = 0.1;
+// A VM with few requests may still send some again.
+constexpr double kMinRetries = 10;
+
+void Decay(RetryBudget& budget, Millis now) {
+  const double factor =
+      std::exp(-(now - budget.m_counted_at).Seconds() / kWindowSeconds);
+  budget.m_requests *= factor;
+  budget.m_retries *= factor;
+  budget.m_counted_at = now;
+}
+
+}  // namespace
+
+void NoteRequest(RetryBudget& budget, Millis now) {
+  Decay(budget, now);
+  budget.m_requests += 1;
+}
+
+bool TakeRetry(RetryBudget& budget, Millis now) {
+  Decay(budget, now);
+  if (budget.m_retries + 1 > kMinRetries + kShare * budget.m_requests) {
+    return false;
+  }
+  budget.m_retries += 1;
+  return true;
+}
+
+}  // namespace bronzecross
--- a/packages/upstreams/in_flight.h
+++ b/packages/upstreams/in_flight.h
@@ -7,20 +7,35 @@
 #include <cstdint>
 #include <memory>
 
+#include "upstreams/change_signal.h"
+
 namespace bronzecross {
 
-using InFlightCounter = std::shared_ptr<std::atomic<int64_t>>;
+enum class Priority { kOnline, kBatch };
+
+// This VM's requests on one upstream.
+struct InFlightCounts {
+  std::atomic<int64_t> m_online = 0;
+  std::atomic<int64_t> m_batch = 0;
+  // All that were ever sent.
+  std::atomic<int64_t> m_sent = 0;
+  // Notified when a request ends; may be null.
+  std::shared_ptr<ChangeSignal> m_signal;
+};
 
 class InFlight {
  public:
   InFlight() = default;
-  explicit InFlight(InFlightCounter counter);
+  InFlight(std::shared_ptr<InFlightCounts> counts, Priority priority);
   ~InFlight();
   InFlight(InFlight&& other) = default;
   InFlight& operator=(InFlight&& other);
 
  private:
-  InFlightCounter m_counter;
+  void Release();
+
+  std::shared_ptr<InFlightCounts> m_counts;
+  Priority m_priority = Priority::kOnline;
 };
 
 }  // namespace bronzecross
--- a/packages/upstreams/upstream_registry.cc
+++ b/packages/upstreams/upstream_registry.cc
@@ -1,36 +1,38 @@
 #include "upstreams/upstream_registry.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <absl/strings/str_cat.h>
-#include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
+#include "base/hash.h"
 #include "base/log.h"
-#include "upstreams/load_report.h"
+#include "base/random.h"
 
 namespace bronzecross {
 namespace {
 
 using nlohmann::json;
 
-constexpr Millis kPollInterval{250};
-constexpr Millis kPollTimeout{500};
-// After this many failures in a row an upstream gets no work for a while.
-constexpr int kTripAfter = 3;
-constexpr Millis kTripFor{2000};
-// What a VM told about its requests in flight is forgotten after this time.
-constexpr Millis kPeerCountLife{2000};
+// Before anything is learned, an upstream of declared speed 1 is taken to need
+// this long.
+constexpr double kDefaultServiceMs = 500;
+// A learned time is gradually forgotten, so that an upstream that gets no work
+// for its slowness is tried again.
+constexpr double kForgetSeconds = 30;
+// An upstream without answers for this long is tried whatever it reports.
+constexpr Millis kUntriedAfter{2000};
+// Heartbeats carry a reservation to all VMs within this time.
+constexpr Millis kReservationNotice{250};
+constexpr Millis kReservationPoll{10};
+constexpr size_t kMaxSentPrefixes = 16;
 
 bool Contains(std::span<const std::string> names, std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
 bool Serves(const UpstreamSpec& spec, const UpstreamNeed& need) {
-  if (spec.m_state == UpstreamState::kLeaving ||
-      Contains(need.m_avoid, spec.m_name)) {
-    return false;
-  }
   if (!need.m_service.empty()) {
     return spec.m_kind == UpstreamKind::kService &&
            spec.m_service == need.m_service;
@@ -39,20 +41,37 @@
          Contains(spec.m_models, need.m_model);
 }
 
-struct PeerCount {
-  int64_t m_in_flight = 0;
-  Millis m_told;
-};
+double UnitHash(std::string_view text, uint64_t seed) {
+  return static_cast<double>(Hash64(text, seed) >> 11) * 0x1p-53;
+}
+
+// The learned service time, pulled towards the declared speed as it ages.
+double ServiceMs(const UpstreamSpec& spec,
+                 const UpstreamRecord& record,
+                 double unit_ms,
+                 Millis now) {
+  const ServiceTime shared = SharedServiceTime(record);
+  const double declared = unit_ms / spec.m_speed;
+  if (shared.m_answers == 0) {
+    return declared;
+  }
+  const Millis last = std::max(shared.m_last_answer, record.m_active_at);
+  const double kept = std::exp(-(now - last).Seconds() / kForgetSeconds);
+  return kept * shared.m_mean_ms + (1 - kept) * declared;
+}
+
+std::string Wanted(const UpstreamNeed& need) {
+  return std::string(need.m_service.empty() ? need.m_model : need.m_service);
+}
 
 }  // namespace
 
-struct UpstreamRegistry::Upstream {
-  InFlightCounter m_own = std::make_shared<std::atomic<int64_t>>(0);
-  std::map<std::string, PeerCount> m_peers;
-  int64_t m_reported = 0;
-  Millis m_reported_at;
-  int m_failures = 0;
-  Millis m_tripped_until;
+// The upstreams that may take a request now. `m_busy` tells whether others
+// could later.
+struct UpstreamRegistry::Candidates {
+  std::vector<const UpstreamSpec*> m_specs;
+  std::vector<UpstreamView> m_views;
+  bool m_busy = false;
 };
 
 UpstreamRegistry::UpstreamRegistry(ConfigHolder& config,
@@ -61,13 +80,28 @@
                                    std::vector<std::string> halves)
     : m_config(config),
       m_membership(membership),
-      m_http(http),
-      m_halves(std::move(halves)) {
+      m_halves(std::move(halves)),
+      m_poller(config,
+               membership,
+               http,
+               [this](const std::string& name,
+                      const Result<LoadReport>& report,
+                      Millis sent) { TakeReport(name, report, sent); }) {
   m_membership.AddSection(
-      "upstreams", {[this] { return MakeSection(); },
-                    [this](const std::string& from, const json& section) {
-                      TakeSection(from, section);
-                    }});
+      "upstreams",
+      {[this] {
+         const std::vector<std::string> leaving =
+             m_membership.LeavingUpstreams();
+         absl::MutexLock lock(&m_mutex);
+         return MakeUpstreamSection(m_records, leaving, MonotonicNow());
+       },
+       [this](const std::string& from, const json& section) {
+         {
+           absl::MutexLock lock(&m_mutex);
+           TakeUpstreamSection(m_records, from, section, MonotonicNow());
+         }
+         m_changes->Notify();
+       }});
 }
 
 UpstreamRegistry::~UpstreamRegistry() {
@@ -75,157 +109,426 @@
 }
 
 void UpstreamRegistry::Start() {
-  m_poll_thread = std::thread([this] { PollLoads(); });
+  m_poller.Start();
 }
 
 void UpstreamRegistry::Stop() {
-  {
-    absl::MutexLock lock(&m_mutex);
-    m_stopping = true;
-  }
-  if (m_poll_thread.joinable()) {
-    m_poll_thread.join();
+  m_poller.Stop();
+}
+
+UpstreamRecord& UpstreamRegistry::FindOrAdd(std::string_view name) {
+  const auto found = m_records.find(name);
+  if (found != m_records.end()) {
+    // Records that a heartbeat made have no signal yet. It is set once, as
+    // requests in flight read it without the mutex.
+    if (found->second.m_counts->m_signal == nullptr) {
+      found->second.m_counts->m_signal = m_changes;
+    }
+    return found->second;
   }
+  UpstreamRecord& record =
+      m_records.try_emplace(std::string(name)).first->second;
+  record.m_counts->m_signal = m_changes;
+  return record;
 }
 
-UpstreamRegistry::Upstream& UpstreamRegistry::FindOrAdd(std::string_view name) {
-  const auto found = m_upstreams.find(name);
-  return found != m_upstreams.end()
-             ? found->second
-             : m_upstreams.try_emplace(std::string(name)).first->second;
+bool UpstreamRegistry::IsOurs(const UpstreamSpec& spec) const {
+  return m_halves.empty() || spec.m_half.empty() ||
+         Contains(m_halves, spec.m_half);
 }
 
-Result<PickedUpstream> UpstreamRegistry::Pick(const UpstreamNeed& need,
-                                              std::string_view request_id) {
-  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+bool UpstreamRegistry::IsDown(const UpstreamSpec& spec,
+                              const UpstreamRecord& record,
+                              std::span<const std::string> leaving,
+                              Millis now) const {
+  return spec.m_state == UpstreamState::kLeaving ||
+         Contains(leaving, spec.m_name) || IsLeavingForPeer(record, now) ||
+         !AllowsRequest(record.m_breaker, now) ||
+         (!IsOpen(record.m_breaker) && IsTrippedByPeer(record, now));
+}
+
+UpstreamView UpstreamRegistry::MakeView(const UpstreamSpec& spec,
+                                        const UpstreamRecord& record,
+                                        const UpstreamNeed& need,
+                                        Millis now) const {
+  const PeerTotals peers = SumPeers(record, now);
+  const ServiceTime shared = SharedServiceTime(record);
+  UpstreamView view;
+  view.m_name = spec.m_name;
+  view.m_own_in_flight = record.m_counts->m_online + record.m_counts->m_batch;
+  view.m_peers_in_flight = peers.m_online + peers.m_batch;
+  view.m_online_in_flight = record.m_counts->m_online + peers.m_online;
+  view.m_slots = spec.m_slots;
+  const bool untried =
+      view.m_own_in_flight + view.m_peers_in_flight == 0 &&
+      now - std::max(record.m_active_at, shared.m_last_answer) > kUntriedAfter;
+  view.m_other_load = untried ? 0 : OtherLoad(record.m_reported, now);
+  view.m_answers = shared.m_answers;
+  view.m_same_zone =
+      spec.m_availability_zone == m_membership.Self().m_availability_zone;
+  view.m_prefix_match = PrefixMatch(record.m_prefixes, need.m_prefixes, now);
+  view.m_preference = UnitHash(spec.m_name, Hash64(m_membership.Self().m_id));
+  return view;
+}
+
+UpstreamRegistry::Candidates UpstreamRegistry::Collect(
+    const UpstreamNeed& need,
+    const ConfigSnapshot& config,
+    Millis now) {
   const std::vector<std::string> leaving = m_membership.LeavingUpstreams();
-  const Millis now = MonotonicNow();
-  std::vector<const UpstreamSpec*> specs;
-  std::vector<UpstreamView> views;
-  absl::MutexLock lock(&m_mutex);
-  for (const UpstreamSpec& spec : config->GetManifest().m_upstreams) {
-    if (!Serves(spec, need) || Contains(leaving, spec.m_name) ||
-        (!m_halves.empty() && !spec.m_half.empty() &&
-         !Contains(m_halves, spec.m_half))) {
+  Candidates candidates;
+  std::vector<const UpstreamRecord*> records;
+  double unit_sum = 0;
+  int unit_count = 0;
+  for (const UpstreamSpec& spec : config.GetManifest().m_upstreams) {
+    if (!Serves(spec, need) || !IsOurs(spec) ||
+        Contains(need.m_avoid, spec.m_name)) {
       continue;
     }
-    const Upstream& upstream = FindOrAdd(spec.m_name);
-    if (upstream.m_tripped_until > now) {
+    const UpstreamRecord& record = FindOrAdd(spec.m_name);
+    const auto refused = record.m_refused_models.find(need.m_model);
+    if (IsDown(spec, record, leaving, now) ||
+        (refused != record.m_refused_models.end() && refused->second > now)) {
       continue;
     }
-    UpstreamView& view = views.emplace_back();
-    specs.push_back(&spec);
-    view.m_name = spec.m_name;
-    view.m_own_in_flight = *upstream.m_own;
-    for (const auto& [id, count] : upstream.m_peers) {
-      view.m_peers_in_flight +=
-          now - count.m_told < kPeerCountLife ? count.m_in_flight : 0;
+    if (record.m_quiet_until > now || IsReserved(record, now)) {
+      candidates.m_busy = true;
+      continue;
+    }
+    const ServiceTime shared = SharedServiceTime(record);
+    if (shared.m_answers > 0) {
+      unit_sum += shared.m_mean_ms * spec.m_speed;
+      ++unit_count;
+    }
+    candidates.m_specs.push_back(&spec);
+    candidates.m_views.push_back(MakeView(spec, record, need, now));
+    records.push_back(&record);
+  }
+  const double unit_ms =
+      unit_count > 0 ? unit_sum / unit_count : kDefaultServiceMs;
+  double best_home = -1;
+  UpstreamView* home = nullptr;
+  bool any_match = false;
+  for (size_t i = 0; i < records.size(); ++i) {
+    UpstreamView& view = candidates.m_views[i];
+    view.m_service_ms =
+        ServiceMs(*candidates.m_specs[i], *records[i], unit_ms, now);
+    any_match = any_match || view.m_prefix_match > 0;
+    if (!need.m_prefixes.empty()) {
+      const double score = UnitHash(view.m_name, need.m_prefixes.front());
+      if (score > best_home) {
+        best_home = score;
+        home = &view;
+      }
+    }
+  }
+  if (home != nullptr && !any_match) {
+    home->m_prefix_home = true;
+  }
+  return candidates;
+}
+
+PickedUpstream UpstreamRegistry::Take(const UpstreamSpec& spec,
+                                      const UpstreamNeed& need,
+                                      Millis now) {
+  UpstreamRecord& record = FindOrAdd(spec.m_name);
+  const PeerTotals peers = SumPeers(record, now);
+  const int64_t before = record.m_counts->m_online + record.m_counts->m_batch +
+                         peers.m_online + peers.m_batch;
+  NoteSent(record.m_breaker, now);
+  record.m_active_at = now;
+  for (const uint64_t hash : need.m_prefixes) {
+    NotePrefix(record.m_prefixes, hash, now);
+    record.m_sent_prefixes.emplace_back(now, hash);
+    if (record.m_sent_prefixes.size() > kMaxSentPrefixes) {
+      record.m_sent_prefixes.pop_front();
+    }
+  }
+  PickedUpstream picked;
+  picked.m_name = spec.m_name;
+  picked.m_url = spec.m_url;
+  picked.m_in_flight = InFlight(record.m_counts, need.m_priority);
+  picked.m_kind = spec.m_kind;
+  picked.m_slots = spec.m_slots;
+  picked.m_load =
+      static_cast<double>(before) + OtherLoad(record.m_reported, now);
+  picked.m_picked_at = now;
+  picked.m_send_number = record.m_counts->m_sent;
+  picked.m_alone = before == 0;
+  return picked;
+}
+
+Result<PickedUpstream> UpstreamRegistry::Pick(const UpstreamNeed& need,
+                                              std::string_view request_id) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  const Millis now = MonotonicNow();
+  PickedUpstream picked;
+  UpstreamView view;
+  size_t count = 0;
+  double cost = 0;
+  {
+    absl::MutexLock lock(&m_mutex);
+    const Candidates candidates = Collect(need, *config, now);
+    const std::optional<RouteDecision> decision =
+        ChooseUpstream(candidates.m_views, ThreadRandom());
+    if (!decision) {
+      return candidates.m_busy || !candidates.m_views.empty()
+                 ? Fail(ResultCode::kOverloaded,
+                        absl::StrCat("all upstreams of ", Wanted(need),
+                                     " are full"))
+                 : Fail(ResultCode::kNoUpstream,
+                        absl::StrCat("no upstream can serve ", Wanted(need),
+                                     " now"));
     }
-    view.m_reported = upstream.m_reported;
-    view.m_reported_at = upstream.m_reported_at;
-    view.m_slots = spec.m_slots;
-    view.m_speed = spec.m_speed;
-    view.m_same_zone =
-        spec.m_availability_zone == m_membership.Self().m_availability_zone;
-  }
-  const std::optional<RouteDecision> decision =
-      ChooseUpstream(views, now, ThreadRandom());
-  if (!decision) {
-    return Fail(
-        ResultCode::kNoUpstream,
-        absl::StrCat("no upstream can serve ",
-                     need.m_service.empty() ? std::string(need.m_model)
-                                            : std::string(need.m_service),
-                     " now"));
-  }
-  const UpstreamSpec& chosen = *specs[decision->m_index];
-  const UpstreamView& view = views[decision->m_index];
+    view = candidates.m_views[decision->m_index];
+    count = candidates.m_views.size();
+    cost = decision->m_cost;
+    picked = Take(*candidates.m_specs[decision->m_index], need, now);
+  }
   Log(Severity::kInfo, LogPart::kRouting, "Chose an upstream.",
       {{"request", request_id},
-       {"upstream", chosen.m_name},
-       {"candidates", views.size()},
-       {"cost", decision->m_cost},
+       {"upstream", picked.m_name},
+       {"candidates", count},
+       {"cost_ms", cost},
        {"own", view.m_own_in_flight},
        {"peers", view.m_peers_in_flight},
-       {"reported", view.m_reported},
-       {"report_age_ms", now - view.m_reported_at}});
-  return PickedUpstream{chosen.m_name, chosen.m_url,
-                        InFlight(FindOrAdd(chosen.m_name).m_own)};
+       {"other", view.m_other_load},
+       {"service_ms", view.m_service_ms},
+       {"prefix", view.m_prefix_match}});
+  if (need.m_priority == Priority::kOnline && m_online_at_bound &&
+      picked.m_load >= static_cast<double>(picked.m_slots)) {
+    m_online_at_bound(picked.m_name);
+  }
+  return picked;
 }
 
-void UpstreamRegistry::ReportOutcome(std::string_view name, bool failed) {
+Result<PickedUpstream> UpstreamRegistry::PickNamed(
+    std::string_view name,
+    Priority priority,
+    std::string_view request_id) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  const std::vector<std::string> leaving = m_membership.LeavingUpstreams();
+  const Millis now = MonotonicNow();
+  const std::vector<UpstreamSpec>& specs = config->GetManifest().m_upstreams;
+  const auto spec = std::find_if(
+      specs.begin(), specs.end(),
+      [name](const UpstreamSpec& one) { return one.m_name == name; });
   absl::MutexLock lock(&m_mutex);
-  Upstream& upstream = FindOrAdd(name);
-  upstream.m_failures = failed ? upstream.m_failures + 1 : 0;
-  if (upstream.m_failures >= kTripAfter) {
-    upstream.m_failures = 0;
-    upstream.m_tripped_until = MonotonicNow() + kTripFor;
-    Log(Severity::kWarning, LogPart::kUpstreams, "Tripped an upstream.",
-        {{"upstream", name}, {"for_ms", kTripFor}});
+  if (spec == specs.end() || !IsOurs(*spec)) {
+    return Fail(ResultCode::kNoUpstream,
+                absl::StrCat("there is no upstream ", std::string(name)));
   }
+  const UpstreamRecord& record = FindOrAdd(name);
+  if (IsDown(*spec, record, leaving, now) || record.m_quiet_until > now ||
+      IsReserved(record, now)) {
+    return Fail(ResultCode::kNoUpstream,
+                absl::StrCat("upstream ", std::string(name), " is not usable"));
+  }
+  UpstreamNeed need;
+  need.m_priority = priority;
+  PickedUpstream picked = Take(*spec, need, now);
+  Log(Severity::kDebug, LogPart::kRouting, "Took a named upstream.",
+      {{"request", request_id}, {"upstream", name}, {"load", picked.m_load}});
+  return picked;
 }
 
-void UpstreamRegistry::PollLoads() {
-  while (true) {
+std::string UpstreamRegistry::Reserve(const UpstreamNeed& need) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  absl::MutexLock lock(&m_mutex);
+  const Candidates candidates = Collect(need, *config, MonotonicNow());
+  const auto least =
+      std::min_element(candidates.m_views.begin(), candidates.m_views.end(),
+                       [](const UpstreamView& one, const UpstreamView& other) {
+                         return one.m_own_in_flight + one.m_peers_in_flight <
+                                other.m_own_in_flight + other.m_peers_in_flight;
+                       });
+  if (least == candidates.m_views.end()) {
+    return "";
+  }
+  FindOrAdd(least->m_name).m_reserved = true;
+  return std::string(least->m_name);
+}
+
+void UpstreamRegistry::EndReservation(std::string_view name) {
+  {
+    absl::MutexLock lock(&m_mutex);
+    UpstreamRecord& record = FindOrAdd(name);
+    record.m_reserved = false;
+    record.m_active_at = MonotonicNow();
+  }
+  m_changes->Notify();
+}
+
+bool UpstreamRegistry::HoldsReservation(std::string_view name) {
+  absl::MutexLock lock(&m_mutex);
+  const UpstreamRecord& record = FindOrAdd(name);
+  // Of two VMs that reserve the same upstream, the one with the lower id holds.
+  return std::none_of(record.m_peers.begin(), record.m_peers.end(),
+                      [this](const auto& entry) {
+                        return entry.second.m_reserved &&
+                               entry.first < m_membership.Self().m_id;
+                      });
+}
+
+bool UpstreamRegistry::IsIdle(std::string_view name) {
+  absl::MutexLock lock(&m_mutex);
+  const UpstreamRecord& record = FindOrAdd(name);
+  const PeerTotals peers = SumPeers(record, MonotonicNow());
+  return record.m_counts->m_online + record.m_counts->m_batch + peers.m_online +
+             peers.m_batch ==
+         0;
+}
+
+Result<PickedUpstream> UpstreamRegistry::PickAlone(const UpstreamNeed& need,
+                                                   std::string_view request_id,
+                                                   Millis deadline) {
+  while (MonotonicNow() < deadline) {
+    const std::string name = Reserve(need);
+    if (name.empty()) {
+      SleepFor(kReservationPoll);
+      continue;
+    }
+    std::shared_ptr<void> reservation(
+        nullptr, [this, name](void*) { EndReservation(name); });
+    const Millis reserved_at = MonotonicNow();
+    bool holds = true;
+    while (
+        holds && MonotonicNow() < deadline &&
+        (MonotonicNow() - reserved_at < kReservationNotice || !IsIdle(name))) {
+      SleepFor(kReservationPoll);
+      holds = HoldsReservation(name);
+    }
+    if (!holds || MonotonicNow() >= deadline) {
+      continue;
+    }
     const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
-    for (const UpstreamSpec& spec : config->GetManifest().m_upstreams) {
-      PollLoad(spec);
+    const std::vector<UpstreamSpec>& specs = config->GetManifest().m_upstreams;
+    const auto spec = std::find_if(
+        specs.begin(), specs.end(),
+        [&name](const UpstreamSpec& one) { return one.m_name == name; });
+    if (spec == specs.end()) {
+      continue;
     }
     absl::MutexLock lock(&m_mutex);
-    if (m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping),
-                                 absl::Milliseconds(kPollInterval.count()))) {
+    PickedUpstream picked = Take(*spec, need, MonotonicNow());
+    picked.m_reservation = std::move(reservation);
+    Log(Severity::kInfo, LogPart::kRouting, "Reserved an upstream.",
+        {{"request", request_id},
+         {"upstream", name},
+         {"waited_ms", MonotonicNow() - reserved_at}});
+    return picked;
+  }
+  return Fail(ResultCode::kOverloaded,
+              "no upstream got free for a request that must run alone");
+}
+
+void UpstreamRegistry::ReportOutcome(std::string_view name, bool failed) {
+  const Millis now = MonotonicNow();
+  Millis open_for;
+  {
+    absl::MutexLock lock(&m_mutex);
+    UpstreamRecord& record = FindOrAdd(name);
+    record.m_active_at = now;
+    if (!NoteOutcome(record.m_breaker, failed, now)) {
       return;
     }
+    open_for = record.m_breaker.m_open_for;
   }
+  Log(Severity::kWarning, LogPart::kUpstreams, "Tripped an upstream.",
+      {{"upstream", name}, {"for_ms", open_for}});
 }
 
-void UpstreamRegistry::PollLoad(const UpstreamSpec& spec) {
-  if (spec.m_kind != UpstreamKind::kEngine) {
-    return;
-  }
-  HttpCall call;
-  call.m_url = absl::StrCat(spec.m_url, "/metrics");
-  call.m_timeout = kPollTimeout;
-  call.m_max_answer_bytes = 1 << 20;
-  const Millis sent = MonotonicNow();
-  const Result<HttpAnswer> answer = m_http.Call(call);
-  if (!answer || answer->m_status != 200) {
-    return;
-  }
-  const Result<LoadReport> report = ParseLoadReport(answer->m_body);
-  if (!report) {
-    LogError(Severity::kWarning, LogPart::kUpstreams, "Dropped a load report.",
-             report.error());
-    return;
+void UpstreamRegistry::ReportDeath(std::string_view name) {
+  {
+    absl::MutexLock lock(&m_mutex);
+    OpenBreaker(FindOrAdd(name).m_breaker, MonotonicNow());
   }
+  Log(Severity::kWarning, LogPart::kUpstreams, "Found an upstream dead.",
+      {{"upstream", name}});
+}
+
+void UpstreamRegistry::ReportAnswer(const PickedUpstream& picked) {
+  const Millis now = MonotonicNow();
+  const Millis took = now - picked.m_picked_at;
   absl::MutexLock lock(&m_mutex);
-  Upstream& upstream = FindOrAdd(spec.m_name);
-  upstream.m_reported = report->m_running + report->m_waiting;
-  upstream.m_reported_at = sent;
+  UpstreamRecord& record = FindOrAdd(picked.m_name);
+  NoteOutcome(record.m_breaker, false, now);
+  NoteAnswerTime(record.m_reported, static_cast<double>(took.count()),
+                 record.m_service.m_mean_ms, picked.m_slots);
+  NoteAnswer(record.m_service, took, picked.m_load, picked.m_slots, now);
+  record.m_active_at = now;
 }
 
-json UpstreamRegistry::MakeSection() {
-  json section = json::object();
+void UpstreamRegistry::KeepQuiet(std::string_view name, Millis until) {
   absl::MutexLock lock(&m_mutex);
-  for (const auto& [name, upstream] : m_upstreams) {
-    const int64_t own = *upstream.m_own;
-    if (own > 0) {
-      section[name] = own;
-    }
-  }
-  return section;
+  UpstreamRecord& record = FindOrAdd(name);
+  record.m_quiet_until = std::max(record.m_quiet_until, until);
 }
 
-void UpstreamRegistry::TakeSection(const std::string& from,
-                                   const json& section) {
+void UpstreamRegistry::RefuseModel(std::string_view name,
+                                   std::string_view model,
+                                   Millis until) {
+  absl::MutexLock lock(&m_mutex);
+  FindOrAdd(name).m_refused_models.insert_or_assign(std::string(model), until);
+}
+
+bool UpstreamRegistry::RanAlone(const PickedUpstream& picked) {
+  absl::MutexLock lock(&m_mutex);
+  const UpstreamRecord& record = FindOrAdd(picked.m_name);
+  const PeerTotals peers = SumPeers(record, MonotonicNow());
+  return picked.m_alone && record.m_counts->m_sent == picked.m_send_number &&
+         peers.m_online + peers.m_batch == 0;
+}
+
+std::vector<UpstreamLoad> UpstreamRegistry::Loads(std::string_view model) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  const std::vector<std::string> leaving = m_membership.LeavingUpstreams();
   const Millis now = MonotonicNow();
+  const UpstreamNeed need{model, ""};
+  std::vector<UpstreamLoad> loads;
   absl::MutexLock lock(&m_mutex);
-  for (auto& [name, upstream] : m_upstreams) {
-    upstream.m_peers.erase(from);
+  for (const UpstreamSpec& spec : config->GetManifest().m_upstreams) {
+    if (!Serves(spec, need) || !IsOurs(spec)) {
+      continue;
+    }
+    const UpstreamRecord& record = FindOrAdd(spec.m_name);
+    const PeerTotals peers = SumPeers(record, now);
+    UpstreamLoad& load = loads.emplace_back();
+    load.m_name = spec.m_name;
+    load.m_slots = spec.m_slots;
+    load.m_own_online = record.m_counts->m_online;
+    load.m_own_batch = record.m_counts->m_batch;
+    load.m_peers_online = peers.m_online;
+    load.m_peers_batch = peers.m_batch;
+    load.m_other = OtherLoad(record.m_reported, now);
+    load.m_service_ms = SharedServiceTime(record).m_mean_ms;
+    load.m_usable = !IsDown(spec, record, leaving, now) &&
+                    record.m_quiet_until <= now && !IsReserved(record, now);
   }
-  for (const auto& [name, count] : section.items()) {
-    FindOrAdd(name).m_peers[from] = PeerCount{count.get<int64_t>(), now};
+  return loads;
+}
+
+void UpstreamRegistry::TakeReport(const std::string& name,
+                                  const Result<LoadReport>& report,
+                                  Millis sent) {
+  if (!report) {
+    LogError(Severity::kWarning, LogPart::kUpstreams, "Got no load report.",
+             report.error());
+    // A refused connection is a sign of death; a missing page is not.
+    if (report.error().m_code != ResultCode::kMalformedBody) {
+      ReportOutcome(name, true);
+    }
+    return;
   }
+  absl::MutexLock lock(&m_mutex);
+  UpstreamRecord& record = FindOrAdd(name);
+  const PeerTotals peers = SumPeers(record, sent);
+  record.m_last_report = report->m_running + report->m_waiting;
+  record.m_polled_here = true;
+  NoteReport(record.m_reported, record.m_last_report,
+             record.m_counts->m_online + record.m_counts->m_batch +
+                 peers.m_online + peers.m_batch,
+             sent);
 }
 
 }  // namespace bronzecross
--- /dev/null
+++ b/packages/upstreams/upstream_section.cc
@@ -0,0 +1,138 @@
+#include "upstreams/upstream_section.h"
+
+#include <algorithm>
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+// A few heartbeats long, so that a lost one does not lose the news.
+constexpr Millis kNewsLife{1000};
+// Bounds the digest's bytes per heartbeat.
+constexpr size_t kMaxPrefixes = 16;
+constexpr int kOpen = 1;
+constexpr int kReserved = 2;
+
+json CountsOf(const std::string& name, const UpstreamRecord& record) {
+  const int flags = (IsOpen(record.m_breaker) ? kOpen : 0) |
+                    (record.m_reserved ? kReserved : 0);
+  return json::array({name, record.m_counts->m_online.load(),
+                      record.m_counts->m_batch.load(),
+                      static_cast<int64_t>(record.m_service.m_mean_ms),
+                      record.m_service.m_answers, flags});
+}
+
+void AddPrefixes(json& section,
+                 const std::string& name,
+                 const UpstreamRecord& record,
+                 Millis now) {
+  for (const auto& [sent, hash] : record.m_sent_prefixes) {
+    if (now - sent < kNewsLife && section.size() < kMaxPrefixes) {
+      section.push_back(json::array({name, hash}));
+    }
+  }
+}
+
+void TakeCounts(PeerRecord& peer, const json& entry, Millis now) {
+  entry.at(1).get_to(peer.m_online);
+  entry.at(2).get_to(peer.m_batch);
+  peer.m_service.m_mean_ms = entry.at(3).get<double>();
+  entry.at(4).get_to(peer.m_service.m_answers);
+  const int flags = entry.at(5).get<int>();
+  if ((flags & kOpen) == 0) {
+    peer.m_open_since = Millis(0);
+  } else if (peer.m_open_since == Millis(0)) {
+    peer.m_open_since = now;
+  }
+  peer.m_reserved = (flags & kReserved) != 0;
+}
+
+int64_t SentByAll(const UpstreamRecord& record, Millis now) {
+  const PeerTotals peers = SumPeers(record, now);
+  return record.m_counts->m_online + record.m_counts->m_batch + peers.m_online +
+         peers.m_batch;
+}
+
+}  // namespace
+
+json MakeUpstreamSection(const UpstreamRecords& records,
+                         std::span<const std::string> leaving,
+                         Millis now) {
+  json counts = json::array();
+  json reports = json::array();
+  json prefixes = json::array();
+  for (const auto& [name, record] : records) {
+    if (record.m_counts->m_online > 0 || record.m_counts->m_batch > 0 ||
+        IsOpen(record.m_breaker) || record.m_reserved ||
+        now - record.m_active_at < kNewsLife) {
+      counts.push_back(CountsOf(name, record));
+    }
+    const Millis age = now - record.m_reported.m_reported_at;
+    if (record.m_polled_here && age < kNewsLife) {
+      reports.push_back(json::array({name, record.m_last_report, age.count()}));
+    }
+    AddPrefixes(prefixes, name, record, now);
+  }
+  json section = {{"counts", std::move(counts)}};
+  if (!reports.empty()) {
+    section["reports"] = std::move(reports);
+  }
+  if (!prefixes.empty()) {
+    section["prefixes"] = std::move(prefixes);
+  }
+  if (!leaving.empty()) {
+    section["leaving"] =
+        std::vector<std::string>(leaving.begin(), leaving.end());
+  }
+  return section;
+}
+
+void TakeUpstreamSection(UpstreamRecords& records,
+                         const std::string& from,
+                         const json& section,
+                         Millis now) {
+  for (auto& [name, record] : records) {
+    const auto peer = record.m_peers.find(from);
+    if (peer != record.m_peers.end()) {
+      peer->second.m_told_at = now;
+      peer->second.m_online = 0;
+      peer->second.m_batch = 0;
+      peer->second.m_reserved = false;
+      peer->second.m_leaving = false;
+    }
+  }
+  std::vector<std::string> open;
+  for (const json& entry : section.at("counts")) {
+    PeerRecord& peer = records[entry.at(0).get<std::string>()].m_peers[from];
+    peer.m_told_at = now;
+    TakeCounts(peer, entry, now);
+    if (peer.m_open_since != Millis(0)) {
+      open.push_back(entry.at(0));
+    }
+  }
+  for (auto& [name, record] : records) {
+    const auto peer = record.m_peers.find(from);
+    if (peer != record.m_peers.end() &&
+        std::find(open.begin(), open.end(), name) == open.end()) {
+      peer->second.m_open_since = Millis(0);
+    }
+  }
+  for (const json& entry : section.value("reports", json::array())) {
+    UpstreamRecord& record = records[entry.at(0).get<std::string>()];
+    const Millis at = now - Millis(entry.at(2).get<int64_t>());
+    NoteReport(record.m_reported, entry.at(1).get<int64_t>(),
+               SentByAll(record, now), at);
+  }
+  for (const json& entry : section.value("prefixes", json::array())) {
+    NotePrefix(records[entry.at(0).get<std::string>()].m_prefixes,
+               entry.at(1).get<uint64_t>(), now);
+  }
+  for (const json& name : section.value("leaving", json::array())) {
+    PeerRecord& peer = records[name.get<std::string>()].m_peers[from];
+    peer.m_told_at = now;
+    peer.m_leaving = true;
+  }
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/upstreams/upstream_section_test.cc
@@ -0,0 +1,41 @@
+#include "upstreams/upstream_section.h"
+
+#include <doctest/doctest.h>
+
+namespace bronzecross {
+
+// Guards against counts of ended requests that stay at other VMs, and against
+// breaker news that outlives the breaker.
+TEST_CASE("a heartbeat carries counts, breaker news and reports, then clears") {
+  const Millis now(10'000);
+  UpstreamRecords sender;
+  UpstreamRecord& record = sender["e"];
+  record.m_counts->m_online = 3;
+  record.m_counts->m_batch = 2;
+  record.m_last_report = 9;
+  record.m_polled_here = true;
+  record.m_reported.m_reported_at = now;
+  for (int i = 0; i < 3; ++i) {
+    NoteOutcome(record.m_breaker, true, now);
+  }
+  const std::vector<std::string> leaving = {"f"};
+  UpstreamRecords receiver;
+  TakeUpstreamSection(receiver, "vm-1",
+                      MakeUpstreamSection(sender, leaving, now), now);
+  CHECK(SumPeers(receiver["e"], now).m_online == 3);
+  CHECK(SumPeers(receiver["e"], now).m_batch == 2);
+  CHECK(IsTrippedByPeer(receiver["e"], now));
+  CHECK(OtherLoad(receiver["e"].m_reported, now) == doctest::Approx(4));
+  CHECK(IsLeavingForPeer(receiver["f"], now));
+
+  NoteOutcome(receiver["e"].m_breaker, false, now + Millis(1));
+  CHECK_FALSE(IsTrippedByPeer(receiver["e"], now + Millis(1)));
+
+  record = UpstreamRecord();
+  TakeUpstreamSection(receiver, "vm-1", MakeUpstreamSection(sender, {}, now),
+                      now);
+  CHECK(SumPeers(receiver["e"], now).m_online == 0);
+  CHECK_FALSE(IsLeavingForPeer(receiver["f"], now));
+}
+
+}  // namespace bronzecross
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -45,6 +45,16 @@
   return options;
 }
 
+OnlineOptions MakeOnlineOptions(const Settings& settings) {
+  OnlineOptions options;
+  options.m_request_timeout = settings.m_request_timeout;
+  options.m_max_queue = static_cast<size_t>(settings.m_max_queue);
+  options.m_throttle.m_wait_out = settings.m_wait_out_retry_after;
+  options.m_throttle.m_cache_refusals = settings.m_cache_refusals;
+  options.m_throttle.m_count_every_5xx = settings.m_count_every_5xx;
+  return options;
+}
+
 }  // namespace
 
 Daemon::Daemon(const Settings& settings)
@@ -56,11 +66,13 @@
                    m_peer_client),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
+      m_crashes(m_membership, m_http),
       m_online(m_config,
                m_limiter,
                m_upstreams,
+               m_crashes,
                m_http,
-               settings.m_request_timeout),
+               MakeOnlineOptions(settings)),
       m_batch(m_config, m_store, m_upstreams, m_http, settings.m_store_prefix),
       m_config_follower(m_config,
                         m_store,
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -20,6 +20,7 @@
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
 #include "store/kv_client.h"
+#include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
 #include "vm_lease.h"
 
@@ -49,6 +50,7 @@
   Membership m_membership;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
+  CrashGuard m_crashes;
   OnlineService m_online;
   BatchService m_batch;
   ConfigFollower m_config_follower;
