--- a/packages/http/curl_session.cc
+++ b/packages/http/curl_session.cc
@@ -48,6 +48,7 @@
   m_call = call;
   m_deadline = MonotonicNow() + call.m_timeout;
   m_buffer.clear();
+  m_failure.reset();
   m_headers.clear();
   m_status = 0;
   m_header_done = false;
@@ -102,10 +103,15 @@
 
 Status CurlSession::Pump() {
   while (m_buffer.empty() && !m_done) {
-    const Status step = Step();
-    if (!step) {
+    const Status step = m_failure ? m_failure.value() : Step();
+    if (step) {
+      continue;
+    }
+    if (m_buffer.empty()) {
       return step;
     }
+    // The bytes that came before the failure are read first.
+    m_failure = step;
   }
   return {};
 }
--- a/packages/http/curl_session.h
+++ b/packages/http/curl_session.h
@@ -4,6 +4,7 @@
 #ifndef BRONZECROSS_HTTP_CURL_SESSION_H_
 #define BRONZECROSS_HTTP_CURL_SESSION_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,8 @@
   Millis m_deadline;
   std::string m_buffer;
   std::vector<HttpHeader> m_headers;
+  // Why the transfer failed, until the bytes before it are read.
+  std::optional<Status> m_failure;
   int m_status = 0;
   bool m_active = false;
   bool m_header_done = false;
--- a/packages/online/completion_progress_test.cc
+++ b/packages/online/completion_progress_test.cc
@@ -30,7 +30,7 @@
     SseSplitter splitter;
     for (const std::string& part :
          {whole.substr(0, split), whole.substr(split)}) {
-      splitter.Add(part);
+      REQUIRE(splitter.Add(part));
       while (std::optional<std::string> event = splitter.Next()) {
         CHECK(TakeEvent(progress, *event).has_value());
       }
@@ -39,7 +39,7 @@
   }
   CompletionProgress cut;
   SseSplitter splitter;
-  splitter.Add(Chunk("a", "data: [DONE]") + "\n\ndata: [DONE");
+  REQUIRE(splitter.Add(Chunk("a", "data: [DONE]") + "\n\ndata: [DONE"));
   CHECK(TakeEvent(cut, *splitter.Next()).has_value());
   CHECK_FALSE(splitter.Next().has_value());
   CHECK_FALSE(cut.m_done);
--- a/packages/online/completion_stream.cc
+++ b/packages/online/completion_stream.cc
@@ -68,7 +68,10 @@
 }
 
 Status CompletionStream::TakePiece(std::string_view piece) {
-  m_splitter.Add(piece);
+  if (!m_splitter.Add(piece)) {
+    return FailMayHaveRun(ResultCode::kStreamCut,
+                          "an event of the upstream's stream is too long");
+  }
   std::optional<std::string> event = m_splitter.Next();
   while (event && !m_progress.m_done) {
     const Result<std::string> passed = TakeEvent(m_progress, std::move(*event));
--- a/packages/online/sse_splitter.cc
+++ b/packages/online/sse_splitter.cc
@@ -2,6 +2,14 @@
 
 namespace bronzecross {
 
+bool SseSplitter::Add(std::string_view bytes) {
+  if (m_bytes.size() + bytes.size() > kMaxBytes) {
+    return false;
+  }
+  m_bytes += bytes;
+  return true;
+}
+
 std::optional<std::string> SseSplitter::Next() {
   const size_t plain = m_bytes.find("\n\n");
   const size_t carriage = m_bytes.find("\r\n\r\n");
--- a/packages/online/sse_splitter.h
+++ b/packages/online/sse_splitter.h
@@ -11,7 +11,9 @@
 
 class SseSplitter {
  public:
-  void Add(std::string_view bytes) { m_bytes += bytes; }
+  // Returns false, without taking the bytes, if the unfinished events get
+  // longer than kMaxBytes.
+  bool Add(std::string_view bytes);
 
   // The next whole event without its closing empty line; nothing if the rest
   // is unfinished. Lines may end in "\n" or "\r\n".
@@ -20,6 +22,10 @@
   void Clear() { m_bytes.clear(); }
 
  private:
+  // An engine's events are a few hundred bytes; log probabilities make them
+  // longer.
+  static constexpr size_t kMaxBytes = 4 << 20;
+
   std::string m_bytes;
 };
 
--- a/standins/engine_standin.cc
+++ b/standins/engine_standin.cc
@@ -121,6 +121,50 @@
   m_slowdown = factor;
 }
 
+void EngineStandin::FailNext(int count, int status, int retry_after_s) {
+  absl::MutexLock lock(&m_mutex);
+  m_fail_count = count;
+  m_fail_status = status;
+  m_fail_retry_after_s = retry_after_s;
+}
+
+void EngineStandin::SetQuota(int per_second) {
+  absl::MutexLock lock(&m_mutex);
+  m_quota = per_second;
+}
+
+int64_t EngineStandin::Refused() {
+  absl::MutexLock lock(&m_mutex);
+  return m_turned_away;
+}
+
+std::optional<HttpReply> EngineStandin::RefuseCompletion() {
+  absl::MutexLock lock(&m_mutex);
+  int status = 0;
+  int retry_after_s = 0;
+  const Millis now = MonotonicNow();
+  if (now - m_quota_start >= Millis(1000)) {
+    m_quota_start = now;
+    m_quota_used = 0;
+  }
+  if (m_fail_count > 0) {
+    --m_fail_count;
+    status = m_fail_status;
+    retry_after_s = m_fail_retry_after_s;
+  } else if (m_quota > 0 && ++m_quota_used > m_quota) {
+    status = 429;
+    retry_after_s = 1;
+  } else {
+    return std::nullopt;
+  }
+  ++m_turned_away;
+  HttpReply reply = JsonReply(status, R"({"error":{"message":"refused"}})");
+  if (retry_after_s > 0) {
+    reply.m_headers.push_back({"Retry-After", std::to_string(retry_after_s)});
+  }
+  return reply;
+}
+
 std::map<std::string, int> EngineStandin::FinishedByPrompt() {
   absl::MutexLock lock(&m_mutex);
   return m_finished;
@@ -336,6 +380,10 @@
 }
 
 HttpReply EngineStandin::Complete(const HttpRequest& request) {
+  std::optional<HttpReply> refusal = RefuseCompletion();
+  if (refusal) {
+    return std::move(*refusal);
+  }
   const json body = json::parse(request.m_body, nullptr, false);
   if (body.is_discarded() || !body.is_object()) {
     return JsonReply(400, R"({"error":{"message":"not JSON"}})");
--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -67,6 +68,13 @@
   bool IsRunning() const { return m_server.IsRunning(); }
   // Slows the engine down by `factor` without any sign in its load report.
   void SetSlowdown(int factor);
+  // Answers the next `count` completions with `status` without running them,
+  // with a Retry-After of `retry_after_s` if that is positive.
+  void FailNext(int count, int status, int retry_after_s = 0);
+  // Answers completions beyond `per_second` with 429 and a Retry-After of 1 s,
+  // as a provider with a quota per second does; 0: no quota.
+  void SetQuota(int per_second);
+  int64_t Refused();
 
   // Finished requests by prompt.
   std::map<std::string, int> FinishedByPrompt();
@@ -88,6 +96,8 @@
  private:
   HttpReply Handle(HttpRequest& request);
   HttpReply Complete(const HttpRequest& request);
+  // The refusal that FailNext() or SetQuota() asks for, if any.
+  std::optional<HttpReply> RefuseCompletion();
   HttpReply TakeOrder(const HttpRequest& request);
   HttpReply ReportOrders();
   HttpReply Report();
@@ -101,6 +111,13 @@
   const EngineOptions m_options;
   absl::Mutex m_mutex;
   int m_slowdown ABSL_GUARDED_BY(m_mutex) = 1;
+  int m_fail_count ABSL_GUARDED_BY(m_mutex) = 0;
+  int m_fail_status ABSL_GUARDED_BY(m_mutex) = 500;
+  int m_fail_retry_after_s ABSL_GUARDED_BY(m_mutex) = 0;
+  int m_quota ABSL_GUARDED_BY(m_mutex) = 0;
+  int m_quota_used ABSL_GUARDED_BY(m_mutex) = 0;
+  Millis m_quota_start ABSL_GUARDED_BY(m_mutex);
+  int64_t m_turned_away ABSL_GUARDED_BY(m_mutex) = 0;
   int64_t m_running ABSL_GUARDED_BY(m_mutex) = 0;
   int64_t m_waiting ABSL_GUARDED_BY(m_mutex) = 0;
   int64_t m_started ABSL_GUARDED_BY(m_mutex) = 0;
--- a/tests/hostile/parsers.cc
+++ b/tests/hostile/parsers.cc
@@ -12,7 +12,8 @@
 #include "config/settings.h"
 #include "ledger/ledger_record.h"
 #include "membership/vm_list.h"
-#include "online/stream_check.h"
+#include "online/completion_progress.h"
+#include "online/sse_splitter.h"
 #include "peers/message.h"
 #include "upstreams/load_report.h"
 
@@ -74,9 +75,17 @@
 }
 
 bool ParseStream(std::string_view input) {
-  StreamCheck check;
-  FollowStream(check, input);
-  return check.m_done;
+  CompletionProgress progress;
+  SseSplitter splitter;
+  if (!splitter.Add(input)) {
+    return false;
+  }
+  while (std::optional<std::string> event = splitter.Next()) {
+    if (!TakeEvent(progress, std::move(*event))) {
+      return false;
+    }
+  }
+  return progress.m_done;
 }
 
 bool ParseVms(std::string_view input) {
