--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -46,6 +46,9 @@
     options.m_data_vms = 1;
     options.m_engines.resize(1);
     options.m_services = services;
+    // The limiter's buckets start empty and are not tested here.
+    options.m_rate_per_s = 1e6;
+    options.m_burst = 1e6;
     return options;
   }
 
--- a/tests/integration/crash_requests_test.cc
+++ b/tests/integration/crash_requests_test.cc
@@ -35,6 +35,9 @@
 TEST_CASE("a crash request is refused after few deaths, innocents are served") {
   ClusterOptions options;
   options.m_engines.resize(kEngines);
+  // The limiter's buckets start empty and are not tested here.
+  options.m_rate_per_s = 1e6;
+  options.m_burst = 1e6;
   for (EngineOptions& engine : options.m_engines) {
     engine.m_slots = 4;
     engine.m_prefill = Millis(300);
