--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -22,6 +22,7 @@
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
 #include "store/kv_client.h"
+#include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
 #include "vm_lease.h"
 
@@ -54,6 +55,7 @@
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   KeyGuard m_key_guard;
+  CrashGuard m_crashes;
   OnlineService m_online;
   BatchService m_batch;
   ConfigDistributor m_distributor;
