Stream files into ledgers

Cause: files lay whole in one store value, bounded by 600 KB, and in memory. Change: FileService streams uploads line by line into a ledger through the body sink, seals it and writes one record files/<id>; content is read back in blocks; list and delete are new. BatchService reads its input from the file's ledger.

--- a/packages/batch/batch_service.cc
+++ b/packages/batch/batch_service.cc
@@ -12,17 +12,9 @@
 
 using nlohmann::json;
 
-constexpr size_t kMaxFileBytes = 600 * 1024;
 constexpr size_t kMaxItemTries = 3;
 constexpr Millis kItemTimeout{60'000};
 
-json PublicFile(const json& record) {
-  json file = record;
-  file.erase("content");
-  file.erase("workspace");
-  return file;
-}
-
 json PublicBatch(const json& record) {
   json batch = record;
   batch.erase("workspace");
@@ -30,26 +22,17 @@
   return batch;
 }
 
-json MakeFile(std::string_view name,
-              std::string_view purpose,
-              std::string_view workspace,
-              std::string content) {
-  return {
-      {"id", "file-" + RandomId()}, {"object", "file"},
-      {"bytes", content.size()},    {"created_at", WallNow().count() / 1000},
-      {"filename", name},           {"purpose", purpose},
-      {"workspace", workspace},     {"content", std::move(content)}};
-}
-
 }  // namespace
 
 BatchService::BatchService(ConfigHolder& config,
                            KvClient& store,
+                           FileService& files,
                            UpstreamRegistry& upstreams,
                            HttpClient& http,
                            std::string prefix)
     : m_config(config),
       m_store(store),
+      m_files(files),
       m_upstreams(upstreams),
       m_http(http),
       m_prefix(std::move(prefix)) {}
@@ -70,22 +53,16 @@
   }
 }
 
-HttpReply BatchService::Handle(const HttpRequest& request) {
+HttpReply BatchService::Handle(const HttpRequest& request, const Status& body) {
   const Result<Caller> caller = Authenticate(request, *m_config.Get());
   if (!caller) {
     return ErrorReply(caller.error());
   }
-  const Result<json> answer = Dispatch(request, *caller);
-  if (!answer) {
-    return ErrorReply(answer.error());
-  }
-  if (answer->is_string()) {
-    HttpReply reply;
-    reply.m_headers.push_back({"Content-Type", "application/jsonl"});
-    reply.m_body = answer->get<std::string>();
-    return reply;
+  if (request.m_path.starts_with("/v1/files")) {
+    return m_files.Handle(request, caller->m_workspace, body);
   }
-  return JsonReply(200, answer->dump());
+  const Result<json> answer = Dispatch(request, *caller);
+  return answer ? JsonReply(200, answer->dump()) : ErrorReply(answer.error());
 }
 
 Result<json> BatchService::Dispatch(const HttpRequest& request,
@@ -93,26 +70,20 @@
   const std::vector<std::string> parts =
       absl::StrSplit(request.m_path, '/', absl::SkipEmpty());
   const bool post = request.m_method == "POST";
-  const std::string& kind = parts[1];
   if (parts.size() == 2 && post) {
-    return kind == "files" ? CreateFile(request, caller)
-                           : CreateBatch(request, caller);
+    return CreateBatch(request, caller);
   }
-  if (parts.size() == 4 && kind == "batches" && post && parts[3] == "cancel") {
+  if (parts.size() == 4 && post && parts[3] == "cancel") {
     return CancelBatch(parts[2], caller);
   }
   if (post || parts.size() < 3) {
     return Fail(ResultCode::kMethodNotAllowed, "no such call");
   }
-  const Result<KvEntry> entry = Load(kind, parts[2], caller);
+  const Result<KvEntry> entry = Load("batches", parts[2], caller);
   if (!entry) {
     return tl::unexpected<Error>(entry.error());
   }
-  const json record = json::parse(entry->m_value);
-  if (kind == "batches") {
-    return PublicBatch(record);
-  }
-  return parts.size() == 4 ? record.at("content") : PublicFile(record);
+  return PublicBatch(json::parse(entry->m_value));
 }
 
 Result<KvEntry> BatchService::Load(std::string_view kind,
@@ -146,20 +117,6 @@
   return {};
 }
 
-Result<json> BatchService::CreateFile(const HttpRequest& request,
-                                      const Caller& caller) {
-  if (request.m_body.size() > kMaxFileBytes) {
-    return Fail(ResultCode::kBodyTooLarge, "the file is too large");
-  }
-  const json record = MakeFile(request.m_file_name, "batch", caller.m_workspace,
-                               request.m_body);
-  const Status saved = Save("files", record, 0);
-  if (!saved) {
-    return tl::unexpected<Error>(saved.error());
-  }
-  return PublicFile(record);
-}
-
 Result<json> BatchService::CreateBatch(const HttpRequest& request,
                                        const Caller& caller) {
   const json body = json::parse(request.m_body, nullptr, false);
@@ -168,8 +125,8 @@
     return Fail(ResultCode::kMalformedBody,
                 "the body must be a JSON object with \"input_file_id\"");
   }
-  const Result<KvEntry> input =
-      Load("files", body["input_file_id"].get<std::string>(), caller);
+  const Result<FileRecord> input = m_files.Find(
+      body["input_file_id"].get_ref<const std::string&>(), caller.m_workspace);
   if (!input) {
     return tl::unexpected<Error>(input.error());
   }
@@ -219,37 +176,45 @@
     return;
   }
   json record = json::parse(entry->m_value);
-  const Result<KvEntry> input =
-      Load("files", record["input_file_id"].get<std::string>(), caller);
-  if (!input) {
-    LogError(Severity::kError, LogPart::kBatch, "Cannot read a job's input.",
-             input.error());
-    return;
-  }
+  const Result<FileRecord> input =
+      m_files.Find(record["input_file_id"].get_ref<const std::string&>(),
+                   caller.m_workspace);
   std::string output;
   int64_t total = 0;
   int64_t failed = 0;
-  const std::string content = json::parse(input->m_value).at("content");
-  for (const absl::string_view line :
-       absl::StrSplit(content, '\n', absl::SkipEmpty())) {
-    if (m_stopping) {
-      return;
-    }
-    const std::string result =
-        RunItem(std::string_view(line.data(), line.size()));
-    ++total;
-    failed += json::parse(result)["error"].is_null() ? 0 : 1;
-    output += result;
+  const Status read =
+      input ? m_files.ReadLines(
+                  *input, 0,
+                  [&](std::string_view line) {
+                    if (!IsBlankLine(line)) {
+                      const std::string result = RunItem(line);
+                      ++total;
+                      failed += json::parse(result)["error"].is_null() ? 0 : 1;
+                      output += result;
+                    }
+                    return !m_stopping;
+                  })
+            : tl::unexpected<Error>(input.error());
+  if (!read) {
+    LogError(Severity::kError, LogPart::kBatch, "Cannot read a job's input.",
+             read.error());
+    return;
+  }
+  if (m_stopping) {
+    return;
+  }
+  const Result<FileRecord> file =
+      m_files.Save("output.jsonl", "batch_output", caller.m_workspace, output);
+  if (!file) {
+    LogError(Severity::kError, LogPart::kBatch, "Cannot save a job's output.",
+             file.error());
+    return;
   }
-  const json file =
-      MakeFile("output.jsonl", "batch_output", caller.m_workspace, output);
-  const Status saved = Save("files", file, 0);
   record["status"] = "completed";
-  record["output_file_id"] = file["id"];
+  record["output_file_id"] = file->m_id;
   record["request_counts"] = {
       {"total", total}, {"completed", total - failed}, {"failed", failed}};
-  const Status done =
-      saved ? Save("batches", record, entry->m_mod_revision) : saved;
+  const Status done = Save("batches", record, entry->m_mod_revision);
   if (!done) {
     LogError(Severity::kError, LogPart::kBatch, "Cannot finish a job.",
              done.error());
--- a/packages/batch/batch_service.h
+++ b/packages/batch/batch_service.h
@@ -1,7 +1,6 @@
 // Files and batch jobs in the OpenAI form.
 //
-// A job's input and output lie in the store, so both are bounded by the size of
-// one value, and the accepting VM runs the job.
+// The accepting VM runs the job.
 
 #ifndef BRONZECROSS_BATCH_BATCH_SERVICE_H_
 #define BRONZECROSS_BATCH_BATCH_SERVICE_H_
@@ -17,6 +16,7 @@
 #include <nlohmann/json.hpp>
 
 #include "batch/batch_item.h"
+#include "batch/file_service.h"
 #include "config/config_holder.h"
 #include "http/http_client.h"
 #include "online/authenticator.h"
@@ -29,20 +29,24 @@
  public:
   BatchService(ConfigHolder& config,
                KvClient& store,
+               FileService& files,
                UpstreamRegistry& upstreams,
                HttpClient& http,
                std::string prefix);
   ~BatchService();
 
-  // Everything under /v1/files and /v1/batches.
-  HttpReply Handle(const HttpRequest& request);
+  // What to do with the body of POST /v1/files.
+  BodyPlan PlanUpload(HttpRequest& request) {
+    return m_files.PlanUpload(request);
+  }
+  // Everything under /v1/files and /v1/batches. `body` is the outcome of
+  // streaming the request's body.
+  HttpReply Handle(const HttpRequest& request, const Status& body);
   void Stop();
 
  private:
   Result<nlohmann::json> Dispatch(const HttpRequest& request,
                                   const Caller& caller);
-  Result<nlohmann::json> CreateFile(const HttpRequest& request,
-                                    const Caller& caller);
   Result<nlohmann::json> CreateBatch(const HttpRequest& request,
                                      const Caller& caller);
   Result<nlohmann::json> CancelBatch(std::string_view id, const Caller& caller);
@@ -57,6 +61,7 @@
 
   ConfigHolder& m_config;
   KvClient& m_store;
+  FileService& m_files;
   UpstreamRegistry& m_upstreams;
   HttpClient& m_http;
   const std::string m_prefix;
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -35,6 +36,8 @@
   std::map<std::string, std::string> m_form;
   // The file name of the multipart field that the sink took.
   std::string m_file_name;
+  // Belongs to whoever planned the body; freed with the request.
+  std::shared_ptr<void> m_sink_state;
   // The caller's socket, watched for hang-up during upstream calls.
   int m_client_fd = -1;
 };
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -52,6 +52,7 @@
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   OnlineService m_online;
+  FileService m_files;
   BatchService m_batch;
   ConfigFollower m_config_follower;
   // Made in Start(), as its record holds the bound addresses.
