Run requests with an Idempotency-Key once over all VMs

Cause: a resend through another VM ran a non-idempotent request again. OnlineService calls it in RunAdmitted() only.

--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -152,12 +152,56 @@
   if (!caller) {
     return ErrorReply(caller.error());
   }
-  const bool stream =
-      body.contains("stream") && body["stream"].is_boolean() && body["stream"];
   CountMetric("bronzecross_online_requests_total",
               {{"workspace", caller->m_workspace}});
-  return stream ? CompleteStream(request, model, std::move(*caller))
-                : CompletePlain(request, model);
+  const bool stream =
+      body.contains("stream") && body["stream"].is_boolean() && body["stream"];
+  return RunAdmitted(request, {*caller, true, m_request_timeout},
+                     [&]() -> HttpReply {
+                       return stream ? CompleteStream(request, model, *caller)
+                                     : CompletePlain(request, model);
+                     });
+}
+
+void OnlineService::UseReceipts(ReceiptService& receipts) {
+  m_receipts = &receipts;
+  receipts.SetExecutor(
+      [this](const HttpRequest& request) { return SendForReceipt(request); });
+}
+
+HttpReply OnlineService::RunAdmitted(const HttpRequest& request,
+                                     Sending sending,
+                                     const std::function<HttpReply()>& send) {
+  const std::string_view key = FindHeader(request.m_headers, "Idempotency-Key");
+  if (m_receipts == nullptr || key.empty() ||
+      sending.m_caller.m_workspace.empty()) {
+    return send();
+  }
+  return m_receipts->Run(sending.m_caller.m_workspace, key,
+                         sending.m_idempotent, request, sending.m_timeout);
+}
+
+HttpReply OnlineService::SendForReceipt(const HttpRequest& request) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  if (request.m_path != "/v1/chat/completions" &&
+      request.m_path != "/v1/completions") {
+    const RouteSpec* route = config->FindRoute(request.m_path);
+    return route != nullptr ? SendToService(request, *route)
+                            : ErrorReply(Fail(ResultCode::kUnknownRoute,
+                                              "the route was withdrawn")
+                                             .value());
+  }
+  const json body = json::parse(request.m_body, nullptr, false);
+  if (body.is_discarded() || !body.is_object() ||
+      !body.value("model", json()).is_string()) {
+    return ErrorReply(
+        Fail(ResultCode::kMalformedBody, "the body has no model").value());
+  }
+  const std::string model = body["model"];
+  const json stream = body.value("stream", json());
+  return stream.is_boolean() && stream.get<bool>()
+             ? CompleteStream(request, model, Caller())
+             : CompletePlain(request, model);
 }
 
 HttpReply OnlineService::CompletePlain(const HttpRequest& request,
@@ -236,7 +280,9 @@
     reply.m_reader = [this, flow](std::span<char> buffer) -> Result<size_t> {
       if (flow->m_pending.empty() && !flow->m_cut) {
         Result<std::string> piece = flow->m_stream->ReadSome();
-        if (piece && !IsKeyInForce(flow->m_caller, *m_config.Get())) {
+        // Without a caller the stream is collected for a receipt.
+        if (piece && !flow->m_caller.m_key_sha256.empty() &&
+            !IsKeyInForce(flow->m_caller, *m_config.Get())) {
           piece =
               FailMayHaveRun(ResultCode::kInvalidKey, "the key was withdrawn");
         }
@@ -287,28 +333,39 @@
              absl::StrCat("the route does not take ", request.m_method))
             .value());
   }
+  Sending sending;
+  sending.m_idempotent = route->m_idempotent;
+  sending.m_timeout = Millis(route->m_timeout_ms);
   if (!route->m_open) {
-    const Result<Caller> caller = AdmitCaller(request, *config);
+    Result<Caller> caller = AdmitCaller(request, *config);
     if (!caller) {
       return ErrorReply(caller.error());
     }
+    sending.m_caller = std::move(*caller);
   }
+  return RunAdmitted(request, std::move(sending), [&]() -> HttpReply {
+    return SendToService(request, *route);
+  });
+}
+
+HttpReply OnlineService::SendToService(const HttpRequest& request,
+                                       const RouteSpec& route) {
   const std::string id = RandomId();
-  const Millis deadline = MonotonicNow() + Millis(route->m_timeout_ms);
+  const Millis deadline = MonotonicNow() + Millis(route.m_timeout_ms);
   std::vector<std::string> failed;
   Error last{ResultCode::kNoUpstream, "no upstream could serve the request"};
   while (failed.size() < kMaxAttempts && MonotonicNow() < deadline) {
     const Result<PickedUpstream> upstream =
-        m_upstreams.Pick({"", route->m_service, failed}, id);
+        m_upstreams.Pick({"", route.m_service, failed}, id);
     if (!upstream) {
       return ErrorReply(failed.empty() ? upstream.error() : last);
     }
     HttpCall call = MakeCall(request, *upstream, deadline - MonotonicNow());
-    call.m_fresh_connection = !route->m_idempotent;
+    call.m_fresh_connection = !route.m_idempotent;
     Result<HttpAnswer> answer = m_http.Call(call);
     const bool server_error = answer && answer->m_status >= kServerError;
     m_upstreams.ReportOutcome(upstream->m_name, !answer || server_error);
-    if (answer && (!server_error || !route->m_idempotent)) {
+    if (answer && (!server_error || !route.m_idempotent)) {
       return PassAnswer(std::move(*answer));
     }
     last = answer
@@ -318,7 +375,7 @@
                : answer.error();
     // A non-idempotent request goes elsewhere only if no byte of it was sent.
     if (!IsUpstreamFault(last) ||
-        (!route->m_idempotent && last.m_run == RunState::kUnknown)) {
+        (!route.m_idempotent && last.m_run == RunState::kUnknown)) {
       break;
     }
     failed.push_back(upstream->m_name);
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -10,6 +10,7 @@
 #include "http/http_message.h"
 #include "limits/limiter.h"
 #include "online/authenticator.h"
+#include "receipts/receipt_service.h"
 #include "upstreams/upstream_registry.h"
 
 namespace bronzecross {
@@ -22,6 +23,10 @@
                 HttpClient& http,
                 Millis request_timeout);
 
+  // From now on requests with an Idempotency-Key go through `receipts`. Call
+  // before requests arrive.
+  void UseReceipts(ReceiptService& receipts);
+
   // POST /v1/chat/completions and /v1/completions.
   HttpReply Complete(const HttpRequest& request);
   // GET /v1/models.
@@ -30,6 +35,21 @@
   HttpReply CallService(const HttpRequest& request);
 
  private:
+  // How an admitted request is sent: its workspace, and what its route says.
+  struct Sending {
+    Caller m_caller;
+    bool m_idempotent = true;
+    Millis m_timeout;
+  };
+
+  // Runs an admitted request: once over all VMs if it has an Idempotency-Key
+  // and a workspace, by `send` otherwise.
+  HttpReply RunAdmitted(const HttpRequest& request,
+                        Sending sending,
+                        const std::function<HttpReply()>& send);
+  // Sends a request that this or another VM admitted to an upstream.
+  HttpReply SendForReceipt(const HttpRequest& request);
+  HttpReply SendToService(const HttpRequest& request, const RouteSpec& route);
   // Finds the caller and takes one token of its workspace.
   Result<Caller> AdmitCaller(const HttpRequest& request,
                              const ConfigSnapshot& config);
@@ -43,6 +63,7 @@
   UpstreamRegistry& m_upstreams;
   HttpClient& m_http;
   const Millis m_request_timeout;
+  ReceiptService* m_receipts = nullptr;
 };
 
 }  // namespace bronzecross
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -42,6 +42,14 @@
   return options;
 }
 
+ReceiptOptions MakeReceiptOptions(const Settings& settings) {
+  ReceiptOptions options;
+  options.m_keep = settings.m_receipt_keep;
+  options.m_max_entries = settings.m_receipt_max_entries;
+  options.m_max_reply_bytes = settings.m_receipt_memory_bytes / kReceiptShards;
+  return options;
+}
+
 HttpServerOptions MakeCallerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.m_address = settings.m_http_address;
@@ -71,6 +79,12 @@
                m_store,
                m_membership,
                m_peer_server),
+      m_receipts(MakeReceiptOptions(settings),
+                 settings.m_store_prefix,
+                 m_store,
+                 m_membership,
+                 m_ledger,
+                 m_peer_server),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
       m_online(m_config,
@@ -99,6 +113,7 @@
                                         [this] { return MakeStatus(); }})) {}
 
 Status Daemon::Start() {
+  m_online.UseReceipts(m_receipts);
   for (const Status& started : {m_peer_server.Start(), m_caller_server.Start(),
                                 m_admin_server.Start()}) {
     if (!started) {
@@ -108,6 +123,7 @@
   m_config_follower.Start();
   m_membership.Start();
   m_ledger.Start();
+  m_receipts.Start();
   m_upstreams.Start();
   const json record = {{"id", m_settings.m_vm_id},
                        {"zone", m_settings.m_availability_zone},
@@ -183,6 +199,7 @@
   }
   m_caller_server.Stop();
   m_batch.Stop();
+  m_receipts.Stop();
   m_ledger.Stop();
   m_vm_lease->Stop();
   m_config_follower.Stop();
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -20,6 +20,7 @@
 #include "online/online_service.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
+#include "receipts/receipt_service.h"
 #include "store/kv_client.h"
 #include "upstreams/upstream_registry.h"
 #include "vm_lease.h"
@@ -49,6 +50,7 @@
   PeerClient m_peer_client;
   Membership m_membership;
   ReplicatedLedger m_ledger;
+  ReceiptService m_receipts;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   OnlineService m_online;
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -188,6 +188,10 @@
   if (vm < m_options.m_data_vms) {
     std::filesystem::create_directories(DataFolder(vm));
     absl::StrAppend(&text, "data_dir = \"", DataFolder(vm), "\"\n");
+    if (m_options.m_data_max_bytes > 0) {
+      absl::StrAppend(&text, "data_max_bytes = ", m_options.m_data_max_bytes,
+                      "\n");
+    }
   }
   absl::StrAppend(
       &text,
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -23,6 +23,8 @@
   int m_vms = 3;
   // The first VMs have a data folder.
   int m_data_vms = 3;
+  // The bytes that a data folder may hold; 0: the default.
+  int64_t m_data_max_bytes = 0;
   std::vector<EngineOptions> m_engines = std::vector<EngineOptions>(3);
   int m_services = 1;
   int m_workspaces = 2;
