--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -78,6 +78,24 @@
   return {};
 }
 
+// Fills in what the body says of the upstreams that suit it.
+void DescribeCompletion(AttemptPlan& plan, const json& body) {
+  plan.m_id = RandomId();
+  plan.m_model = body["model"];
+  plan.m_prefixes = PrefixHashes(PromptText(body));
+  plan.m_fingerprint = RequestFingerprint(plan.m_workspace, body);
+}
+
+void DescribeServiceCall(AttemptPlan& plan, const RouteSpec& route) {
+  plan.m_id = RandomId();
+  plan.m_service = route.m_service;
+  plan.m_idempotent = route.m_idempotent;
+}
+
+bool IsCompletionPath(std::string_view path) {
+  return path == "/v1/chat/completions" || path == "/v1/completions";
+}
+
 bool WantsStream(const json& body) {
   return body.contains("stream") && body["stream"].is_boolean() &&
          body["stream"];
@@ -153,12 +171,64 @@
   }
   CountMetric("bronzecross_online_requests_total",
               {{"workspace", caller->m_workspace}});
-  plan.m_id = RandomId();
   plan.m_workspace = caller->m_workspace;
-  plan.m_model = (*body)["model"];
-  plan.m_prefixes = PrefixHashes(PromptText(*body));
-  plan.m_fingerprint = RequestFingerprint(caller->m_workspace, *body);
+  DescribeCompletion(plan, *body);
   plan.m_guard = m_keys.Watch(std::move(*caller));
+  return RunAdmitted(std::move(plan), [&](AttemptPlan admitted) {
+    return WantsStream(*body)
+               ? CompleteStream(std::move(admitted), std::move(*body))
+               : CompletePlain(std::move(admitted));
+  });
+}
+
+void OnlineService::UseReceipts(ReceiptService& receipts) {
+  m_receipts = &receipts;
+  receipts.SetExecutor(
+      [this](const std::string& workspace, const HttpRequest& request) {
+        return SendForReceipt(workspace, request);
+      });
+}
+
+HttpReply OnlineService::RunAdmitted(
+    AttemptPlan plan,
+    const std::function<HttpReply(AttemptPlan)>& send) {
+  const std::string_view key =
+      FindHeader(plan.m_request->m_headers, "Idempotency-Key");
+  if (m_receipts == nullptr || key.empty() || plan.m_workspace.empty()) {
+    return send(std::move(plan));
+  }
+  return m_receipts->Run(plan.m_workspace, key, plan.m_idempotent,
+                         *plan.m_request, plan.m_deadline - MonotonicNow());
+}
+
+HttpReply OnlineService::SendForReceipt(const std::string& workspace,
+                                        const HttpRequest& request) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  AttemptPlan plan;
+  plan.m_request = &request;
+  plan.m_workspace = workspace;
+  if (!IsCompletionPath(request.m_path)) {
+    const RouteSpec* route = config->FindRoute(request.m_path);
+    if (route == nullptr) {
+      return Refuse(ResultCode::kUnknownRoute, "the route was withdrawn");
+    }
+    const Status deadline = SetDeadline(plan, Millis(route->m_timeout_ms));
+    if (!deadline) {
+      return ErrorReply(deadline.error());
+    }
+    DescribeServiceCall(plan, *route);
+    return CompletePlain(std::move(plan));
+  }
+  Result<json> body = ParseCompletion(request, *config);
+  if (!body) {
+    return ErrorReply(body.error());
+  }
+  const Status deadline =
+      SetDeadline(plan, m_shared.Options().m_request_timeout);
+  if (!deadline) {
+    return ErrorReply(deadline.error());
+  }
+  DescribeCompletion(plan, *body);
   return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body))
                             : CompletePlain(std::move(plan));
 }
@@ -220,10 +290,10 @@
     plan.m_workspace = caller->m_workspace;
     plan.m_guard = m_keys.Watch(std::move(*caller));
   }
-  plan.m_id = RandomId();
-  plan.m_service = route->m_service;
-  plan.m_idempotent = route->m_idempotent;
-  return CompletePlain(std::move(plan));
+  DescribeServiceCall(plan, *route);
+  return RunAdmitted(std::move(plan), [this](AttemptPlan admitted) {
+    return CompletePlain(std::move(admitted));
+  });
 }
 
 }  // namespace bronzecross
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -52,6 +52,14 @@
   return options;
 }
 
+ReceiptOptions MakeReceiptOptions(const Settings& settings) {
+  ReceiptOptions options;
+  options.m_keep = settings.m_receipt_keep;
+  options.m_max_entries = settings.m_receipt_max_entries;
+  options.m_max_reply_bytes = settings.m_receipt_memory_bytes / kReceiptShards;
+  return options;
+}
+
 HttpServerOptions MakeCallerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.m_address = settings.m_http_address;
@@ -91,6 +99,12 @@
                m_store,
                m_membership,
                m_peer_server),
+      m_receipts(MakeReceiptOptions(settings),
+                 settings.m_store_prefix,
+                 m_store,
+                 m_membership,
+                 m_ledger,
+                 m_peer_server),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
       m_key_guard(m_config, [this] { return m_distributor.IsFresh(); }),
@@ -102,7 +116,17 @@
                m_http,
                m_key_guard,
                MakeOnlineOptions(settings)),
-      m_batch(m_config, m_store, m_upstreams, m_http, settings.m_store_prefix),
+      m_files(m_config,
+              m_store,
+              m_ledger,
+              settings.m_store_prefix,
+              settings.m_max_file_bytes),
+      m_batch(m_config,
+              m_store,
+              m_files,
+              m_upstreams,
+              m_http,
+              settings.m_store_prefix),
       m_distributor(m_config,
                     m_store,
                     m_membership,
@@ -119,6 +143,7 @@
                                         [this] { return MakeStatus(); }})) {}
 
 Status Daemon::Start() {
+  m_online.UseReceipts(m_receipts);
   for (const Status& started : {m_peer_server.Start(), m_caller_server.Start(),
                                 m_admin_server.Start()}) {
     if (!started) {
@@ -128,6 +153,7 @@
   m_distributor.Start();
   m_membership.Start();
   m_ledger.Start();
+  m_receipts.Start();
   m_upstreams.Start();
   m_key_guard.Start();
   const json record = {{"id", m_settings.m_vm_id},
@@ -225,6 +251,7 @@
   m_caller_server.Stop();
   m_key_guard.Stop();
   m_batch.Stop();
+  m_receipts.Stop();
   m_ledger.Stop();
   m_vm_lease->Stop();
   m_distributor.Stop();
