Share a workspace's limit by slots with lending

Cause: each VM admitted a static share, so uneven traffic was refused although the workspace was within its limit, and a lost VM's share was lost. Change: slots in a compare-and-swap table, loans between VMs, tokens of requests that did not run are given back. The limit is checked before the body is parsed.

--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -110,6 +110,15 @@
   out.m_heartbeat_interval =
       GetMillis(membership, "heartbeat_ms", 100, 20, 10'000);
   membership.Finish();
+  TomlTable limits(root.GetTable("limits"), faults);
+  const std::string mode = limits.GetString("mode", "slots");
+  if (mode != "slots" && mode != "static") {
+    limits.Fault("mode", "must be slots or static");
+  }
+  out.m_limits_static = mode == "static";
+  out.m_limit_slots = limits.GetInt("slots", 24, 1, 1024);
+  out.m_borrow_wait = GetMillis(limits, "borrow_wait_ms", 60, 0, 1000);
+  limits.Finish();
   TomlTable drain(root.GetTable("drain"), faults);
   out.m_drain_notice = GetMillis(drain, "notice_ms", 3000, 0, 600'000);
   out.m_drain_timeout = GetMillis(drain, "timeout_ms", 60'000, 0, 3'600'000);
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -56,6 +56,14 @@
   // [membership]
   Millis m_heartbeat_interval;
 
+  // [limits]
+  // Whether each VM admits a static share instead of borrowing from others.
+  bool m_limits_static = false;
+  // Slots of a new slot table; VMs beyond this number only borrow.
+  int64_t m_limit_slots = 0;
+  // How long a request waits for borrowed tokens.
+  Millis m_borrow_wait;
+
   // [drain]
   Millis m_drain_notice;
   Millis m_drain_timeout;
--- /dev/null
+++ b/packages/limits/slot_keeper.cc
@@ -0,0 +1,480 @@
+#include "limits/slot_keeper.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include "base/log.h"
+#include "base/random.h"
+#include "peers/message.h"
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kRightInterval{20};
+constexpr Millis kStoreInterval{50};
+constexpr Millis kPullTimeout{300};
+// VMs make changes in the order of their ids; each waits this much longer than
+// the one before it, which may have no way to the store.
+constexpr Millis kTurnDelay{400};
+constexpr Millis kEndedInterval{1000};
+constexpr Millis kHandOverTimeout{1500};
+
+json EncodeIds(const auto& ids) {
+  json list = json::array();
+  for (const SlotHolderId& id : ids) {
+    list.push_back({id.m_vm, id.m_incarnation});
+  }
+  return list;
+}
+
+std::vector<SlotHolderId> DecodeIds(const json& list) {
+  std::vector<SlotHolderId> ids;
+  for (const json& item : list) {
+    ids.push_back({item.at(0), item.at(1)});
+  }
+  return ids;
+}
+
+bool IsHeldNow(const KvLease& lease, Millis now) {
+  return lease.m_id != 0 && now < lease.m_expires;
+}
+
+}  // namespace
+
+SlotKeeper::SlotKeeper(SlotKeeperOptions options,
+                       Membership& membership,
+                       PeerServer& server,
+                       KvClient& store,
+                       std::function<KvLease()> lease)
+    : m_options(std::move(options)),
+      m_table_key(m_options.m_store_prefix + "slots"),
+      m_membership(membership),
+      m_store(store),
+      m_lease(std::move(lease)),
+      m_self{membership.Self().m_id, membership.Self().m_incarnation} {
+  m_membership.AddSection(
+      "slots", {[this] { return MakeSection(); },
+                [this](const std::string& from, const json& section) {
+                  TakeSection(from, section);
+                }});
+  server.Register("limits.slots", PeerDispatch::kOnConnection,
+                  [this](std::string_view, Millis) -> Result<std::string> {
+                    absl::MutexLock lock(&m_mutex);
+                    return EncodeMessage(SlotTableToJson(m_table));
+                  });
+}
+
+SlotKeeper::~SlotKeeper() {
+  Stop();
+}
+
+void SlotKeeper::Start() {
+  m_right_thread = std::thread([this] { RunRight(); });
+  m_store_thread = std::thread([this] { RunStore(); });
+}
+
+void SlotKeeper::Stop() {
+  {
+    absl::MutexLock lock(&m_mutex);
+    m_stopping = true;
+  }
+  if (m_store_thread.joinable()) {
+    m_store_thread.join();
+    m_right_thread.join();
+    // The former change may not be settled yet.
+    const Millis deadline = MonotonicNow() + kHandOverTimeout;
+    while (HoldsSlots() && MonotonicNow() < deadline) {
+      StoreStep(true);
+      SleepFor(kStoreInterval);
+    }
+  }
+}
+
+bool SlotKeeper::WaitStopped(Millis duration) {
+  absl::MutexLock lock(&m_mutex);
+  return m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping),
+                                  absl::Milliseconds(duration.count()));
+}
+
+std::string SlotKeeper::HolderKey(const SlotHolderId& id) const {
+  return absl::StrCat(m_options.m_store_prefix, "slot_holders/", id.m_vm, "/",
+                      id.m_incarnation);
+}
+
+json SlotKeeper::MakeSection() {
+  const bool held = IsHeldNow(m_lease(), MonotonicNow());
+  absl::MutexLock lock(&m_mutex);
+  return {{"n", ++m_sequence},
+          {"i", m_self.m_incarnation},
+          {"v", m_table.m_version},
+          {"c", held && m_registered_lease != 0 && !m_stopping},
+          {"r", EncodeIds(m_reported)},
+          {"e", EncodeIds(m_ended)}};
+}
+
+void SlotKeeper::TakeSection(const std::string& from, const json& section) {
+  const SlotHolderId id{from, section.at("i")};
+  const int64_t sequence = section.at("n");
+  const std::vector<SlotHolderId> reported = DecodeIds(section.at("r"));
+  absl::MutexLock lock(&m_mutex);
+  const Millis now = MonotonicNow();
+  m_heard[id] = now;
+  PeerState& state = m_peers[from];
+  if (id < state.m_peer.m_id ||
+      (id == state.m_peer.m_id && sequence <= state.m_sequence)) {
+    return;  // overtaken by a newer one
+  }
+  state.m_peer.m_id = id;
+  state.m_sequence = sequence;
+  state.m_received = now;
+  section.at("v").get_to(state.m_peer.m_version);
+  section.at("c").get_to(state.m_peer.m_candidate);
+  state.m_peer.m_reported = {reported.begin(), reported.end()};
+  state.m_ended = DecodeIds(section.at("e"));
+}
+
+std::vector<SlotPeer> SlotKeeper::Peers(Millis now) const {
+  std::vector<SlotPeer> peers;
+  for (const auto& [vm, state] : m_peers) {
+    peers.push_back(state.m_peer);
+    peers.back().m_candidate =
+        state.m_peer.m_candidate && now - state.m_received <= kSuspectAfter;
+  }
+  peers.push_back({m_self, m_table.m_version, m_reported,
+                   m_registered_lease != 0 && !m_stopping});
+  return peers;
+}
+
+void SlotKeeper::RunRight() {
+  do {
+    UpdateRight();
+  } while (!WaitStopped(kRightInterval));
+}
+
+void SlotKeeper::UpdateRight() {
+  const KvLease lease = m_lease();
+  const std::vector<Member> known = m_membership.Known();
+  absl::MutexLock lock(&m_mutex);
+  const Millis now = MonotonicNow();
+  std::vector<SlotContact> contacts;
+  for (const Member& member : known) {
+    const auto found = m_peers.find(member.m_id);
+    if (found != m_peers.end()) {
+      const SlotPeer& peer = found->second.m_peer;
+      contacts.push_back({peer.m_id, member.m_last_heard, peer.m_version,
+                          peer.m_reported.contains(m_self)});
+    }
+  }
+  const Millis until = SlotsUsableUntil(
+      m_table, m_self, {m_registered_lease, lease.m_id, lease.m_expires},
+      contacts, now);
+  if ((now < until) != (now < m_usable_until)) {
+    Log(Severity::kInfo, LogPart::kLimits,
+        now < until ? "Uses its slots." : "May not use its slots now.",
+        {{"version", m_table.m_version},
+         {"slots", SlotsOf(m_table, m_self)},
+         {"lease_held", IsHeldNow(lease, now)}});
+  }
+  m_usable_until = until;
+
+  std::set<SlotHolderId> ended(m_ended.begin(), m_ended.end());
+  for (const auto& [vm, state] : m_peers) {
+    ended.insert(state.m_ended.begin(), state.m_ended.end());
+  }
+  for (const SlotHolder& holder : m_table.m_holders) {
+    const auto heard = m_heard.find(holder.m_id);
+    const SilenceView view{m_started,
+                           heard == m_heard.end() ? Millis(0) : heard->second};
+    if (holder.m_id != m_self && ended.contains(holder.m_id) &&
+        MayReportSilent(view, now) && m_reported.insert(holder.m_id).second) {
+      Log(Severity::kInfo, LogPart::kLimits, "Reports a slot holder silent.",
+          {{"vm", holder.m_id.m_vm}, {"version", m_table.m_version}});
+    }
+  }
+  if (!IsSettled(m_table, Peers(now))) {
+    m_settled_since = Millis(0);
+  } else if (m_settled_since == Millis(0)) {
+    m_settled_since = now;
+  }
+}
+
+void SlotKeeper::RunStore() {
+  do {
+    StoreStep(false);
+  } while (!WaitStopped(kStoreInterval));
+}
+
+void SlotKeeper::StoreStep(bool leaving) {
+  PullFromPeer();
+  const KvLease lease = m_lease();
+  if (!IsHeldNow(lease, MonotonicNow())) {
+    return;
+  }
+  int64_t registered = 0;
+  {
+    absl::MutexLock lock(&m_mutex);
+    registered = m_registered_lease;
+  }
+  if (registered != lease.m_id && (leaving || !Register(lease))) {
+    return;
+  }
+  FindEnded();
+  std::optional<TableChange> change;
+  std::vector<SlotHolderId> lost;
+  {
+    absl::MutexLock lock(&m_mutex);
+    const Millis now = MonotonicNow();
+    const std::vector<SlotPeer> peers = Peers(now);
+    const bool settled = IsSettled(m_table, peers);
+    if (settled && m_settled_since != Millis(0) &&
+        now - m_settled_since >= kSettledBeforeTakeover) {
+      lost = FindLost(m_table, peers, m_ended);
+    }
+    change =
+        PlanTable(m_table, m_options.m_slots, m_self, leaving, peers, lost);
+    // Reports against this VM end with the next version.
+    const bool reported =
+        std::any_of(peers.begin(), peers.end(), [this](const SlotPeer& peer) {
+          return peer.m_version == m_table.m_version &&
+                 peer.m_reported.contains(m_self);
+        });
+    if (!change && reported && !leaving) {
+      change = TableChange{NextVersion(m_table), 0};
+    }
+    if (!change || !settled) {
+      m_change_due = change ? m_change_due : Millis(0);
+      return;
+    }
+    if (m_change_due == Millis(0)) {
+      m_change_due = now;
+    }
+    if (!leaving && !reported && change->m_given_up == 0 && !IsMyTurn(now)) {
+      return;
+    }
+    m_change_due = Millis(0);
+  }
+  WriteTable(*change, lost);
+}
+
+bool SlotKeeper::IsMyTurn(Millis now) {
+  int64_t before = 0;
+  for (const SlotPeer& peer : Peers(now)) {
+    before += peer.m_candidate && peer.m_id < m_self ? 1 : 0;
+  }
+  return now - m_change_due >= kTurnDelay * before;
+}
+
+Status SlotKeeper::Register(const KvLease& lease) {
+  const std::string key = HolderKey(m_self);
+  const Result<std::optional<KvEntry>> old = m_store.Get(key);
+  if (!old) {
+    return tl::unexpected<Error>(old.error());
+  }
+  const Result<int64_t> written = m_store.Commit(
+      {{key, RandomId(), *old ? (*old)->m_mod_revision : 0, lease.m_id}});
+  if (!written) {
+    return tl::unexpected<Error>(written.error());
+  }
+  // Only a table read after the key stands may back the right by lease: until
+  // then a takeover may have happened.
+  const Status read = ReadTable();
+  if (!read) {
+    return read;
+  }
+  absl::MutexLock lock(&m_mutex);
+  m_registered_lease = lease.m_id;
+  return {};
+}
+
+Status SlotKeeper::ReadTable() {
+  const Result<std::optional<KvEntry>> entry = m_store.Get(m_table_key);
+  if (!entry) {
+    return tl::unexpected<Error>(entry.error());
+  }
+  if (!*entry) {
+    return {};
+  }
+  const json document = json::parse((*entry)->m_value, nullptr, false);
+  const Result<SlotTable> table = SlotTableFromJson(document);
+  if (!table) {
+    LogError(Severity::kError, LogPart::kLimits, "Cannot read the slot table.",
+             table.error());
+    return tl::unexpected<Error>(table.error());
+  }
+  absl::MutexLock lock(&m_mutex);
+  Install(*table, (*entry)->m_mod_revision);
+  return {};
+}
+
+void SlotKeeper::Install(const SlotTable& table, int64_t revision) {
+  if (table.m_version == m_table.m_version && revision != 0) {
+    m_revision = revision;
+  }
+  if (table.m_version <= m_table.m_version) {
+    return;
+  }
+  m_table = table;
+  m_revision = revision;
+  m_reported.clear();
+  m_settled_since = Millis(0);
+  if (table.m_version > m_withheld_version) {
+    m_withheld = 0;
+  }
+  std::erase_if(
+      m_ended, [&](const SlotHolderId& id) { return SlotsOf(table, id) == 0; });
+}
+
+void SlotKeeper::PullFromPeer() {
+  std::string from;
+  {
+    absl::MutexLock lock(&m_mutex);
+    int64_t highest = m_table.m_version;
+    for (const auto& [vm, state] : m_peers) {
+      if (state.m_peer.m_version > highest) {
+        highest = state.m_peer.m_version;
+        from = vm;
+      }
+    }
+  }
+  if (from.empty()) {
+    return;
+  }
+  const Result<json> answer =
+      m_membership.Call(from, "limits.slots", json::object(), kPullTimeout);
+  const Result<SlotTable> table =
+      answer ? SlotTableFromJson(*answer)
+             : Result<SlotTable>(tl::unexpected<Error>(answer.error()));
+  if (table) {
+    absl::MutexLock lock(&m_mutex);
+    Install(*table, 0);
+  }
+}
+
+void SlotKeeper::FindEnded() {
+  std::vector<SlotHolderId> silent;
+  {
+    absl::MutexLock lock(&m_mutex);
+    const Millis now = MonotonicNow();
+    if (now - m_ended_checked < kEndedInterval) {
+      return;
+    }
+    m_ended_checked = now;
+    for (const SlotHolder& holder : m_table.m_holders) {
+      const auto heard = m_heard.find(holder.m_id);
+      if (holder.m_id != m_self &&
+          MayReportSilent(
+              {m_started, heard == m_heard.end() ? Millis(0) : heard->second},
+              now)) {
+        silent.push_back(holder.m_id);
+      }
+    }
+  }
+  if (silent.empty()) {
+    absl::MutexLock lock(&m_mutex);
+    m_ended.clear();
+    return;
+  }
+  const Result<KvRange> keys =
+      m_store.List(m_options.m_store_prefix + "slot_holders/");
+  if (!keys) {
+    return;
+  }
+  std::erase_if(silent, [&](const SlotHolderId& id) {
+    return std::any_of(
+        keys->m_entries.begin(), keys->m_entries.end(),
+        [&](const KvEntry& entry) { return entry.m_key == HolderKey(id); });
+  });
+  absl::MutexLock lock(&m_mutex);
+  m_ended = silent;
+}
+
+void SlotKeeper::WriteTable(const TableChange& change,
+                            const std::vector<SlotHolderId>& lost) {
+  if (!ReadTable()) {
+    return;
+  }
+  int64_t revision = 0;
+  {
+    absl::MutexLock lock(&m_mutex);
+    if (m_table.m_version + 1 != change.m_table.m_version) {
+      return;  // another VM was first
+    }
+    revision = m_revision;
+    // Given up before the write: it may take effect without an answer.
+    m_withheld = change.m_given_up;
+    m_withheld_version = m_table.m_version;
+  }
+  json document = SlotTableToJson(change.m_table);
+  document["writer"] = RandomId();
+  std::vector<KvWrite> writes = {{m_table_key, document.dump(), revision}};
+  // The write fails if a lost holder has come back to the store meanwhile.
+  for (const SlotHolderId& id : lost) {
+    writes.push_back({HolderKey(id), "", 0, 0, true});
+  }
+  const Result<int64_t> written = m_store.Commit(writes);
+  if (!written) {
+    LogError(Severity::kInfo, LogPart::kLimits, "Did not change the slots.",
+             written.error());
+    static_cast<void>(ReadTable());
+    return;
+  }
+  std::string holders;
+  for (const SlotHolder& holder : change.m_table.m_holders) {
+    absl::StrAppend(&holders, holders.empty() ? "" : ",", holder.m_id.m_vm, ":",
+                    holder.m_slots);
+  }
+  Log(Severity::kInfo, LogPart::kLimits, "Changed the slots.",
+      {{"version", change.m_table.m_version},
+       {"holders", holders},
+       {"taken_over", static_cast<int64_t>(lost.size())},
+       {"given_up", change.m_given_up}});
+  absl::MutexLock lock(&m_mutex);
+  Install(change.m_table, *written);
+}
+
+SlotShare SlotKeeper::Share() const {
+  absl::MutexLock lock(&m_mutex);
+  const SlotHolder* holder = FindHolder(m_table, m_self.m_vm);
+  if (holder == nullptr || holder->m_id != m_self) {
+    return {};
+  }
+  const double slots =
+      static_cast<double>(std::max<int64_t>(holder->m_slots - m_withheld, 0));
+  return {slots / static_cast<double>(m_table.m_slots), holder->m_since,
+          m_usable_until};
+}
+
+std::map<std::string, double> SlotKeeper::PeerShares() const {
+  std::map<std::string, double> shares;
+  absl::MutexLock lock(&m_mutex);
+  for (const SlotHolder& holder : m_table.m_holders) {
+    if (holder.m_id.m_vm != m_self.m_vm) {
+      shares[holder.m_id.m_vm] = static_cast<double>(holder.m_slots) /
+                                 static_cast<double>(m_table.m_slots);
+    }
+  }
+  return shares;
+}
+
+bool SlotKeeper::HasTable() const {
+  absl::MutexLock lock(&m_mutex);
+  return !m_table.m_holders.empty();
+}
+
+bool SlotKeeper::HoldsSlots() const {
+  absl::MutexLock lock(&m_mutex);
+  return SlotsOf(m_table, m_self) > 0;
+}
+
+json SlotKeeper::Describe() const {
+  absl::MutexLock lock(&m_mutex);
+  json table = SlotTableToJson(m_table);
+  table["usable"] = MonotonicNow() < m_usable_until;
+  return table;
+}
+
+}  // namespace bronzecross
--- a/packages/limits/token_bucket_test.cc
+++ b/packages/limits/token_bucket_test.cc
@@ -25,4 +25,16 @@
   CHECK(TimeUntil(bucket, 100, 1) == Millis(10));
 }
 
+// Guards against a burst that is admitted twice: once from the refilled bucket
+// and once from tokens given back late.
+TEST_CASE("tokens given back late do not add to a refilled bucket") {
+  TokenBucket bucket{10, Millis(0)};
+  ReserveTokens(bucket, 1, 10);
+  Refill(bucket, 10, 10, Millis(600));
+  TakeTokens(bucket, 6);
+  CHECK(GiveBackTokens(bucket, 1, 10) == doctest::Approx(4));
+  CHECK(GiveBackTokens(bucket, 1, 10) == 0);
+  CHECK(GiveBackTokens(bucket, 2, 10) == 0);
+}
+
 }  // namespace bronzecross
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -78,6 +78,12 @@
   return error.m_code != ResultCode::kCancelled;
 }
 
+// Whether `reply` is a refusal of a request that did not run.
+bool IsNotRun(const HttpReply& reply) {
+  return FindHeader(reply.m_headers, kRunHeader) ==
+         RunStateName(RunState::kNotRun);
+}
+
 std::string ErrorEvent(const Error& error) {
   return absl::StrCat("event: error\ndata: ", ErrorBody(error), "\n\n");
 }
@@ -95,21 +101,22 @@
       m_http(http),
       m_request_timeout(request_timeout) {}
 
-Result<Caller> OnlineService::AdmitCaller(const HttpRequest& request,
-                                          const ConfigSnapshot& config) {
+Result<OnlineService::Admitted> OnlineService::AdmitCaller(
+    const HttpRequest& request,
+    const ConfigSnapshot& config) {
   Result<Caller> caller = Authenticate(request, config);
   if (!caller) {
-    return caller;
+    return tl::unexpected<Error>(caller.error());
   }
   const WorkspaceSpec* workspace = config.FindWorkspace(caller->m_workspace);
   if (workspace == nullptr) {
     return Fail(ResultCode::kInvalidKey, "the key's workspace does not exist");
   }
-  const Status admitted = m_limiter.Admit(*workspace);
-  if (!admitted) {
-    return tl::unexpected<Error>(admitted.error());
+  Result<Admission> admission = m_limiter.Admit(*workspace);
+  if (!admission) {
+    return tl::unexpected<Error>(admission.error());
   }
-  return caller;
+  return Admitted{std::move(*caller), std::move(*admission)};
 }
 
 HttpReply OnlineService::ListModels(const HttpRequest& request) {
@@ -130,10 +137,22 @@
 
 HttpReply OnlineService::Complete(const HttpRequest& request) {
   const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
-  const Result<Caller> key = Authenticate(request, *config);
-  if (!key) {
-    return ErrorReply(key.error());
+  // Before the body is parsed, so that refusals over the limit are cheap.
+  Result<Admitted> admitted = AdmitCaller(request, *config);
+  if (!admitted) {
+    return ErrorReply(admitted.error());
+  }
+  HttpReply reply =
+      CompleteAdmitted(request, *config, std::move(admitted->m_caller));
+  if (IsNotRun(reply)) {
+    admitted->m_admission.GiveBack();
   }
+  return reply;
+}
+
+HttpReply OnlineService::CompleteAdmitted(const HttpRequest& request,
+                                          const ConfigSnapshot& config,
+                                          Caller caller) {
   const json body = json::parse(request.m_body, nullptr, false);
   if (body.is_discarded() || !body.is_object() || !body.contains("model") ||
       !body["model"].is_string()) {
@@ -143,20 +162,16 @@
             .value());
   }
   const std::string model = body["model"];
-  if (config->FindModel(model) == nullptr) {
+  if (config.FindModel(model) == nullptr) {
     return ErrorReply(Fail(ResultCode::kUnknownModel,
                            absl::StrCat("there is no model \"", model, "\""))
                           .value());
   }
-  Result<Caller> caller = AdmitCaller(request, *config);
-  if (!caller) {
-    return ErrorReply(caller.error());
-  }
   const bool stream =
       body.contains("stream") && body["stream"].is_boolean() && body["stream"];
   CountMetric("bronzecross_online_requests_total",
-              {{"workspace", caller->m_workspace}});
-  return stream ? CompleteStream(request, model, std::move(*caller))
+              {{"workspace", caller.m_workspace}});
+  return stream ? CompleteStream(request, model, std::move(caller))
                 : CompletePlain(request, model);
 }
 
@@ -287,28 +302,38 @@
              absl::StrCat("the route does not take ", request.m_method))
             .value());
   }
-  if (!route->m_open) {
-    const Result<Caller> caller = AdmitCaller(request, *config);
-    if (!caller) {
-      return ErrorReply(caller.error());
-    }
+  if (route->m_open) {
+    return ForwardToService(request, *route);
+  }
+  Result<Admitted> admitted = AdmitCaller(request, *config);
+  if (!admitted) {
+    return ErrorReply(admitted.error());
   }
+  HttpReply reply = ForwardToService(request, *route);
+  if (IsNotRun(reply)) {
+    admitted->m_admission.GiveBack();
+  }
+  return reply;
+}
+
+HttpReply OnlineService::ForwardToService(const HttpRequest& request,
+                                          const RouteSpec& route) {
   const std::string id = RandomId();
-  const Millis deadline = MonotonicNow() + Millis(route->m_timeout_ms);
+  const Millis deadline = MonotonicNow() + Millis(route.m_timeout_ms);
   std::vector<std::string> failed;
   Error last{ResultCode::kNoUpstream, "no upstream could serve the request"};
   while (failed.size() < kMaxAttempts && MonotonicNow() < deadline) {
     const Result<PickedUpstream> upstream =
-        m_upstreams.Pick({"", route->m_service, failed}, id);
+        m_upstreams.Pick({"", route.m_service, failed}, id);
     if (!upstream) {
       return ErrorReply(failed.empty() ? upstream.error() : last);
     }
     HttpCall call = MakeCall(request, *upstream, deadline - MonotonicNow());
-    call.m_fresh_connection = !route->m_idempotent;
+    call.m_fresh_connection = !route.m_idempotent;
     Result<HttpAnswer> answer = m_http.Call(call);
     const bool server_error = answer && answer->m_status >= kServerError;
     m_upstreams.ReportOutcome(upstream->m_name, !answer || server_error);
-    if (answer && (!server_error || !route->m_idempotent)) {
+    if (answer && (!server_error || !route.m_idempotent)) {
       return PassAnswer(std::move(*answer));
     }
     last = answer
@@ -318,7 +343,7 @@
                : answer.error();
     // A non-idempotent request goes elsewhere only if no byte of it was sent.
     if (!IsUpstreamFault(last) ||
-        (!route->m_idempotent && last.m_run == RunState::kUnknown)) {
+        (!route.m_idempotent && last.m_run == RunState::kUnknown)) {
       break;
     }
     failed.push_back(upstream->m_name);
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -30,9 +30,19 @@
   HttpReply CallService(const HttpRequest& request);
 
  private:
+  struct Admitted {
+    Caller m_caller;
+    Admission m_admission;
+  };
+
   // Finds the caller and takes one token of its workspace.
-  Result<Caller> AdmitCaller(const HttpRequest& request,
-                             const ConfigSnapshot& config);
+  Result<Admitted> AdmitCaller(const HttpRequest& request,
+                               const ConfigSnapshot& config);
+  HttpReply CompleteAdmitted(const HttpRequest& request,
+                             const ConfigSnapshot& config,
+                             Caller caller);
+  HttpReply ForwardToService(const HttpRequest& request,
+                             const RouteSpec& route);
   HttpReply CompletePlain(const HttpRequest& request, std::string_view model);
   HttpReply CompleteStream(const HttpRequest& request,
                            std::string_view model,
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -29,6 +29,16 @@
   return options;
 }
 
+LimiterOptions MakeLimiterOptions(const Settings& settings) {
+  LimiterOptions options;
+  options.m_mode =
+      settings.m_limits_static ? LimitMode::kStatic : LimitMode::kSlots;
+  options.m_slots.m_store_prefix = settings.m_store_prefix;
+  options.m_slots.m_slots = settings.m_limit_slots;
+  options.m_borrow_wait = settings.m_borrow_wait;
+  return options;
+}
+
 HttpServerOptions MakeCallerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.m_address = settings.m_http_address;
@@ -54,7 +64,12 @@
       m_membership(MakeMembershipOptions(settings),
                    m_peer_server,
                    m_peer_client),
-      m_limiter(m_membership),
+      m_limiter(MakeLimiterOptions(settings),
+                m_config,
+                m_membership,
+                m_peer_server,
+                m_store,
+                [this] { return CurrentLease(); }),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
       m_online(m_config,
                m_limiter,
@@ -91,6 +106,8 @@
       absl::StrCat(m_settings.m_store_prefix, "vms/", m_settings.m_vm_id),
       record.dump(), m_settings.m_vm_lease_ttl);
   m_vm_lease->Start();
+  m_lease_view = m_vm_lease.get();
+  m_limiter.Start();
   Log(Severity::kInfo, LogPart::kMain, "Started.",
       {{"vm", m_settings.m_vm_id},
        {"zone", m_settings.m_availability_zone},
@@ -120,8 +137,13 @@
   return {};
 }
 
+KvLease Daemon::CurrentLease() const {
+  const VmLease* lease = m_lease_view;
+  return lease == nullptr ? KvLease{} : lease->Current();
+}
+
 bool Daemon::IsReady() const {
-  return !m_draining && m_config.Get()->Generation() > 0;
+  return !m_draining && m_config.Get()->Generation() > 0 && m_limiter.IsReady();
 }
 
 json Daemon::MakeStatus() const {
@@ -136,6 +158,7 @@
           {"generation", m_config.Get()->Generation()},
           {"live", live},
           {"lease_held", m_vm_lease != nullptr && m_vm_lease->IsHeld()},
+          {"slots", m_limiter.Describe()},
           {"store_calls", m_store.Calls()},
           {"peer_bytes", PeerBytesTotal()},
           {"active_requests", m_caller_server.ActiveRequests()}};
@@ -155,6 +178,7 @@
   }
   m_caller_server.Stop();
   m_batch.Stop();
+  m_limiter.Stop();
   m_vm_lease->Stop();
   m_config_follower.Stop();
   m_upstreams.Stop();
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -38,9 +38,13 @@
   Status WritePortFile() const;
   bool IsReady() const;
   nlohmann::json MakeStatus() const;
+  // This VM's lease; id 0: none yet.
+  KvLease CurrentLease() const;
 
   const Settings m_settings;
   std::atomic<bool> m_draining = false;
+  // Points to m_vm_lease once that is made.
+  std::atomic<VmLease*> m_lease_view = nullptr;
   ConfigHolder m_config;
   HttpClient m_http;
   KvClient m_store;
--- a/programs/bronzecross/vm_lease.cc
+++ b/programs/bronzecross/vm_lease.cc
@@ -38,6 +38,11 @@
   return m_lease.m_id != 0 && MonotonicNow() < m_lease.m_expires;
 }
 
+KvLease VmLease::Current() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_lease;
+}
+
 void VmLease::Run() {
   while (true) {
     const Status renewed = Renew();
--- a/programs/bronzecross/vm_lease.h
+++ b/programs/bronzecross/vm_lease.h
@@ -21,6 +21,8 @@
   // Gives the lease up, so that others need not wait for its end.
   void Stop();
 
+  // The lease; id 0: none. Its record stands in the store while it holds.
+  KvLease Current() const;
   // Whether the lease holds, by this VM's own clock.
   bool IsHeld() const;
 
