--- a/packages/limits/slot_table.cc
+++ b/packages/limits/slot_table.cc
@@ -186,7 +186,9 @@
     next.m_slots = slots;
   }
   for (const SlotHolderId& id : lost) {
-    SetSlots(next, id, 0);
+    if (SlotsOf(next, id) > 0) {
+      SetSlots(next, id, 0);
+    }
   }
   const std::map<SlotHolderId, int64_t> shares =
       FairShares(next.m_slots, peers);
