--- a/programs/bronzecross/vm_lease.cc
+++ b/programs/bronzecross/vm_lease.cc
@@ -43,6 +43,11 @@
   return m_lease;
 }
 
+Millis VmLease::Expires() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_lease.m_id != 0 ? m_lease.m_expires : Millis(0);
+}
+
 void VmLease::Run() {
   while (true) {
     const Status renewed = Renew();
--- a/programs/bronzecross/vm_lease.h
+++ b/programs/bronzecross/vm_lease.h
@@ -25,6 +25,8 @@
   KvLease Current() const;
   // Whether the lease holds, by this VM's own clock.
   bool IsHeld() const;
+  // The end of the lease by this VM's own clock; zero if there is none.
+  Millis Expires() const;
 
  private:
   void Run();
