--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -101,6 +101,12 @@
          body["stream"];
 }
 
+// Whether `reply` is a refusal of a request that did not run.
+bool IsNotRun(const HttpReply& reply) {
+  return FindHeader(reply.m_headers, kRunHeader) ==
+         RunStateName(RunState::kNotRun);
+}
+
 }  // namespace
 
 OnlineService::OnlineService(ConfigHolder& config,
@@ -115,21 +121,22 @@
       m_keys(keys),
       m_shared(upstreams, http, crashes, options) {}
 
-Result<Caller> OnlineService::AdmitCaller(const HttpRequest& request,
-                                          const ConfigSnapshot& config) {
+Result<OnlineService::Admitted> OnlineService::AdmitCaller(
+    const HttpRequest& request,
+    const ConfigSnapshot& config) {
   Result<Caller> caller = Authenticate(request, config);
   if (!caller) {
-    return caller;
+    return tl::unexpected<Error>(caller.error());
   }
   const WorkspaceSpec* workspace = config.FindWorkspace(caller->m_workspace);
   if (workspace == nullptr) {
     return Fail(ResultCode::kInvalidKey, "the key's workspace does not exist");
   }
-  const Status admitted = m_limiter.Admit(*workspace);
-  if (!admitted) {
-    return tl::unexpected<Error>(admitted.error());
+  Result<Admission> admission = m_limiter.Admit(*workspace);
+  if (!admission) {
+    return tl::unexpected<Error>(admission.error());
   }
-  return caller;
+  return Admitted{std::move(*caller), std::move(*admission)};
 }
 
 HttpReply OnlineService::ListModels(const HttpRequest& request) {
@@ -150,11 +157,23 @@
 
 HttpReply OnlineService::Complete(const HttpRequest& request) {
   const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
-  const Result<Caller> key = Authenticate(request, *config);
-  if (!key) {
-    return ErrorReply(key.error());
+  // Before the body is parsed, so that refusals over the limit are cheap.
+  Result<Admitted> admitted = AdmitCaller(request, *config);
+  if (!admitted) {
+    return ErrorReply(admitted.error());
   }
-  Result<json> body = ParseCompletion(request, *config);
+  HttpReply reply =
+      CompleteAdmitted(request, *config, std::move(admitted->m_caller));
+  if (IsNotRun(reply)) {
+    admitted->m_admission.GiveBack();
+  }
+  return reply;
+}
+
+HttpReply OnlineService::CompleteAdmitted(const HttpRequest& request,
+                                          const ConfigSnapshot& config,
+                                          Caller caller) {
+  Result<json> body = ParseCompletion(request, config);
   if (!body) {
     return ErrorReply(body.error());
   }
@@ -165,19 +184,15 @@
   if (!deadline) {
     return ErrorReply(deadline.error());
   }
-  Result<Caller> caller = AdmitCaller(request, *config);
-  if (!caller) {
-    return ErrorReply(caller.error());
-  }
   CountMetric("bronzecross_online_requests_total",
-              {{"workspace", caller->m_workspace}});
-  plan.m_workspace = caller->m_workspace;
+              {{"workspace", caller.m_workspace}});
+  plan.m_workspace = caller.m_workspace;
   DescribeCompletion(plan, *body);
-  plan.m_guard = m_keys.Watch(std::move(*caller));
-  return RunAdmitted(std::move(plan), [&](AttemptPlan admitted) {
+  plan.m_guard = m_keys.Watch(std::move(caller));
+  return RunAdmitted(std::move(plan), [&](AttemptPlan admitted_plan) {
     return WantsStream(*body)
-               ? CompleteStream(std::move(admitted), std::move(*body))
-               : CompletePlain(std::move(admitted));
+               ? CompleteStream(std::move(admitted_plan), std::move(*body))
+               : CompletePlain(std::move(admitted_plan));
   });
 }
 
@@ -282,18 +297,24 @@
   if (!deadline) {
     return ErrorReply(deadline.error());
   }
-  if (!route->m_open) {
-    Result<Caller> caller = AdmitCaller(request, *config);
-    if (!caller) {
-      return ErrorReply(caller.error());
-    }
-    plan.m_workspace = caller->m_workspace;
-    plan.m_guard = m_keys.Watch(std::move(*caller));
-  }
   DescribeServiceCall(plan, *route);
-  return RunAdmitted(std::move(plan), [this](AttemptPlan admitted) {
-    return CompletePlain(std::move(admitted));
-  });
+  if (route->m_open) {
+    return CompletePlain(std::move(plan));
+  }
+  Result<Admitted> admitted = AdmitCaller(request, *config);
+  if (!admitted) {
+    return ErrorReply(admitted.error());
+  }
+  plan.m_workspace = admitted->m_caller.m_workspace;
+  plan.m_guard = m_keys.Watch(std::move(admitted->m_caller));
+  HttpReply reply =
+      RunAdmitted(std::move(plan), [this](AttemptPlan admitted_plan) {
+        return CompletePlain(std::move(admitted_plan));
+      });
+  if (IsNotRun(reply)) {
+    admitted->m_admission.GiveBack();
+  }
+  return reply;
 }
 
 }  // namespace bronzecross
