--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -136,7 +136,7 @@
   out.m_heartbeat_interval =
       GetMillis(membership, "heartbeat_ms", 100, 20, 10'000);
   out.m_max_heartbeats_per_s =
-      membership.GetInt("max_heartbeats_per_s", 40, 4, 10'000);
+      membership.GetInt("max_heartbeats_per_s", 30, 4, 10'000);
   membership.Finish();
   TomlTable limits(root.GetTable("limits"), faults);
   const std::string mode = limits.GetString("mode", "slots");
