--- a/packages/base/log.cc
+++ b/packages/base/log.cc
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
 #include <ctime>
@@ -8,12 +10,11 @@
 #include <absl/strings/str_format.h>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
 namespace bronzecross {
@@ -84,14 +85,40 @@
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// Writes each line to standard error in one system call. A flushed standard
+// stream takes two, and a buffered one loses lines in a crash.
+class StderrBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                          char,
+                          boost::log::sinks::concurrent_feeding> {
+ public:
+  // Called by Boost.Log, which gives the name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void consume(const boost::log::record_view&, const std::string& line) {
+    std::string bytes;
+    bytes.reserve(line.size() + 1);
+    bytes += line;
+    bytes += '\n';
+    size_t done = 0;
+    while (done < bytes.size()) {
+      const ssize_t count =
+          write(STDERR_FILENO, bytes.data() + done, bytes.size() - done);
+      if (count <= 0) {
+        return;
+      }
+      done += static_cast<size_t>(count);
+    }
+  }
+};
+
 }  // namespace
 
 void InitLog(Severity lowest, LogFormat format) {
   g_lowest = lowest;
   g_format = format;
   boost::log::core::get()->remove_all_sinks();
-  boost::log::add_console_log(std::clog,
-                              boost::log::keywords::auto_flush = true);
+  boost::log::core::get()->add_sink(
+      boost::make_shared<boost::log::sinks::unlocked_sink<StderrBackend>>(
+          boost::make_shared<StderrBackend>()));
 }
 
 bool IsLogged(Severity severity) {
--- a/packages/base/metrics.cc
+++ b/packages/base/metrics.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <unordered_map>
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
@@ -27,14 +28,36 @@
   return map;
 }
 
+// Finds the metric of `name` and `labels` among those that this thread used, or
+// makes it. The registry's own lookup takes a lock and builds a map for each
+// call. Metrics live as long as the registry.
+template <typename Metric, typename Make>
+Metric& Lookup(std::string_view name, MetricLabels labels, const Make& make) {
+  thread_local std::unordered_map<std::string, Metric*> known;
+  thread_local std::string key;
+  key.assign(name);
+  for (const std::pair<std::string_view, std::string_view>& label : labels) {
+    key += '\0';
+    key += label.first;
+    key += '\0';
+    key += label.second;
+  }
+  Metric*& metric = known[key];
+  if (metric == nullptr) {
+    metric = &make();
+  }
+  return *metric;
+}
+
 }  // namespace
 
 void CountMetric(std::string_view name, MetricLabels labels, double amount) {
-  prometheus::BuildCounter()
-      .Name(std::string(name))
-      .Register(Registry())
-      .Add(ToMap(labels))
-      .Increment(amount);
+  Lookup<prometheus::Counter>(name, labels, [&]() -> prometheus::Counter& {
+    return prometheus::BuildCounter()
+        .Name(std::string(name))
+        .Register(Registry())
+        .Add(ToMap(labels));
+  }).Increment(amount);
 }
 
 void SetGauge(std::string_view name, MetricLabels labels, double value) {
@@ -51,11 +74,12 @@
   static const prometheus::Histogram::BucketBoundaries kBoundaries = {
       0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
       0.5,   1,     2,     5,    10,   30,   60};
-  prometheus::BuildHistogram()
-      .Name(std::string(name))
-      .Register(Registry())
-      .Add(ToMap(labels), kBoundaries)
-      .Observe(seconds);
+  Lookup<prometheus::Histogram>(name, labels, [&]() -> prometheus::Histogram& {
+    return prometheus::BuildHistogram()
+        .Name(std::string(name))
+        .Register(Registry())
+        .Add(ToMap(labels), kBoundaries);
+  }).Observe(seconds);
 }
 
 std::string SerializeMetrics() {
--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -130,6 +130,7 @@
   out.m_max_queue = online.GetInt("max_queue", 256, 0, 100'000);
   out.m_wait_out_retry_after = online.GetBool("wait_out_retry_after", true);
   out.m_cache_refusals = online.GetBool("cache_refusals", true);
+  out.m_prefix_routing = online.GetBool("prefix_routing", true);
   out.m_count_every_5xx = online.GetBool("count_every_5xx", true);
   online.Finish();
   TomlTable membership(root.GetTable("membership"), faults);
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -57,6 +57,8 @@
   bool m_wait_out_retry_after = true;
   bool m_cache_refusals = true;
   bool m_count_every_5xx = true;
+  // Prefers upstreams that lately had a prompt with the same first bytes.
+  bool m_prefix_routing = true;
 
   // [membership]
   Millis m_heartbeat_interval;
--- a/packages/online/attempt_shared.h
+++ b/packages/online/attempt_shared.h
@@ -32,6 +32,7 @@
 struct OnlineOptions {
   Millis m_request_timeout{60'000};
   size_t m_max_queue = 256;
+  bool m_prefix_routing = true;
   ThrottleOptions m_throttle;
 };
 
--- a/packages/online/attempts.cc
+++ b/packages/online/attempts.cc
@@ -13,6 +13,7 @@
 namespace bronzecross {
 namespace {
 
+constexpr int kMultipleChoices = 300;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
@@ -292,8 +293,13 @@
 }
 
 void Attempts::Succeeded(const Attempt& attempt) {
-  if (attempt.m_stream->HttpStatus() < kServerError) {
+  const int status = attempt.m_stream->HttpStatus();
+  if (status < kMultipleChoices) {
     m_shared.Upstreams().ReportAnswer(attempt.m_upstream);
+  } else if (status < kServerError) {
+    // Refusals are fast. Learned as service times, they draw all requests to
+    // the upstream that refuses them.
+    m_shared.Upstreams().ReportOutcome(attempt.m_upstream.m_name, false);
   }
   if (m_plan.m_fingerprint != 0 &&
       IsSuspect(m_shared.Crashes().Total(m_plan.m_fingerprint))) {
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -154,7 +154,9 @@
   plan.m_id = RandomId();
   plan.m_workspace = caller->m_workspace;
   plan.m_model = (*body)["model"];
-  plan.m_prefixes = PrefixHashes(PromptText(*body));
+  if (m_shared.Options().m_prefix_routing) {
+    plan.m_prefixes = PrefixHashes(PromptText(*body));
+  }
   plan.m_fingerprint = RequestFingerprint(caller->m_workspace, *body);
   return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body),
                                              std::move(*caller))
