--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -128,7 +128,14 @@
   out.m_request_timeout =
       GetMillis(online, "request_timeout_ms", 60'000, 100, 3'600'000);
   out.m_max_queue = online.GetInt("max_queue", 256, 0, 100'000);
-  out.m_wait_out_retry_after = online.GetBool("wait_out_retry_after", true);
+  const std::string policy = online.GetString("retry_after", "when_full");
+  if (policy == "same") {
+    out.m_retry_after = RetryAfterPolicy::kSame;
+  } else if (policy == "never") {
+    out.m_retry_after = RetryAfterPolicy::kNever;
+  } else if (policy != "when_full") {
+    online.Fault("retry_after", "must be when_full, same or never");
+  }
   out.m_cache_refusals = online.GetBool("cache_refusals", true);
   out.m_prefix_routing = online.GetBool("prefix_routing", true);
   out.m_count_every_5xx = online.GetBool("count_every_5xx", true);
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -15,6 +15,16 @@
 
 namespace bronzecross {
 
+// What a request does after an upstream refused it with a short Retry-After.
+enum class RetryAfterPolicy {
+  // It goes to another upstream, and waits only while none has room.
+  kWhenFull,
+  // It waits and asks the same upstream again.
+  kSame,
+  // It goes to another upstream, and fails if there is none.
+  kNever,
+};
+
 struct Settings {
   // [vm]
   std::string m_vm_id;
@@ -54,7 +64,7 @@
   // Requests of one workspace that may wait for a full model or service.
   int64_t m_max_queue = 0;
   // How upstreams that refuse or fail are treated, see docs/throttle.md.
-  bool m_wait_out_retry_after = true;
+  RetryAfterPolicy m_retry_after = RetryAfterPolicy::kWhenFull;
   bool m_cache_refusals = true;
   bool m_count_every_5xx = true;
   // Prefers upstreams that lately had a prompt with the same first bytes.
--- a/packages/online/attempt_shared.h
+++ b/packages/online/attempt_shared.h
@@ -9,6 +9,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include "config/settings.h"
 #include "http/http_client.h"
 #include "online/fair_queue.h"
 #include "routing/retry_budget.h"
@@ -20,8 +21,7 @@
 // How upstreams that refuse or fail are treated; docs/throttle.md has the
 // figures behind the defaults.
 struct ThrottleOptions {
-  // Waits out a short Retry-After and asks the same upstream again.
-  bool m_wait_out = true;
+  RetryAfterPolicy m_retry_after = RetryAfterPolicy::kWhenFull;
   // Sends no requests for a model to an upstream that lately answered 404.
   bool m_cache_refusals = true;
   // Counts every 5xx for the circuit breaker, not only lost connections and
--- a/packages/online/attempts.cc
+++ b/packages/online/attempts.cc
@@ -214,8 +214,13 @@
                 absl::StrCat("the upstream answered ", status),
                 RunState::kUnknown, retry_after});
   if (retry_after > Millis(0)) {
+    const RetryAfterPolicy policy = m_shared.Options().m_throttle.m_retry_after;
     m_shared.Upstreams().KeepQuiet(name, MonotonicNow() + retry_after);
-    if (WaitOut(name, retry_after)) {
+    // The upstream may be picked again after its quiet time, which bounds what
+    // is sent there, so that no retry budget is needed.
+    if (retry_after <= kMaxWaitOut &&
+        (policy == RetryAfterPolicy::kWhenFull ||
+         (policy == RetryAfterPolicy::kSame && WaitOut(name, retry_after)))) {
       return true;
     }
   }
@@ -225,8 +230,7 @@
 
 bool Attempts::WaitOut(const std::string& upstream, Millis retry_after) {
   const Millis until = MonotonicNow() + retry_after;
-  if (!m_shared.Options().m_throttle.m_wait_out || retry_after > kMaxWaitOut ||
-      until >= m_plan.m_deadline ||
+  if (until >= m_plan.m_deadline ||
       std::find(m_waited_out.begin(), m_waited_out.end(), upstream) !=
           m_waited_out.end()) {
     return false;
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -63,7 +63,7 @@
   options.m_request_timeout = settings.m_request_timeout;
   options.m_max_queue = static_cast<size_t>(settings.m_max_queue);
   options.m_prefix_routing = settings.m_prefix_routing;
-  options.m_throttle.m_wait_out = settings.m_wait_out_retry_after;
+  options.m_throttle.m_retry_after = settings.m_retry_after;
   options.m_throttle.m_cache_refusals = settings.m_cache_refusals;
   options.m_throttle.m_count_every_5xx = settings.m_count_every_5xx;
   return options;
