--- a/packages/upstreams/upstream_registry.cc
+++ b/packages/upstreams/upstream_registry.cc
@@ -27,6 +27,9 @@
 constexpr Millis kReservationNotice{250};
 constexpr Millis kReservationPoll{10};
 constexpr size_t kMaxSentPrefixes = 16;
+// The manifest's default of one slot is meant for engines. A plain service
+// without declared slots must not be served one request at a time.
+constexpr int64_t kServiceSlots = 64;
 
 bool Contains(std::span<const std::string> names, std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
@@ -41,6 +44,12 @@
          Contains(spec.m_models, need.m_model);
 }
 
+int64_t SlotsOf(const UpstreamSpec& spec) {
+  return spec.m_kind == UpstreamKind::kService && spec.m_slots <= 1
+             ? kServiceSlots
+             : spec.m_slots;
+}
+
 double UnitHash(std::string_view text, uint64_t seed) {
   return static_cast<double>(Hash64(text, seed) >> 11) * 0x1p-53;
 }
@@ -158,7 +167,7 @@
   view.m_own_in_flight = record.m_counts->m_online + record.m_counts->m_batch;
   view.m_peers_in_flight = peers.m_online + peers.m_batch;
   view.m_online_in_flight = record.m_counts->m_online + peers.m_online;
-  view.m_slots = spec.m_slots;
+  view.m_slots = SlotsOf(spec);
   const bool untried =
       view.m_own_in_flight + view.m_peers_in_flight == 0 &&
       now - std::max(record.m_active_at, shared.m_last_answer) > kUntriedAfter;
@@ -249,7 +258,7 @@
   picked.m_url = spec.m_url;
   picked.m_in_flight = InFlight(record.m_counts, need.m_priority);
   picked.m_kind = spec.m_kind;
-  picked.m_slots = spec.m_slots;
+  picked.m_slots = SlotsOf(spec);
   picked.m_load =
       static_cast<double>(before) + OtherLoad(record.m_reported, now);
   picked.m_picked_at = now;
@@ -495,7 +504,7 @@
     const PeerTotals peers = SumPeers(record, now);
     UpstreamLoad& load = loads.emplace_back();
     load.m_name = spec.m_name;
-    load.m_slots = spec.m_slots;
+    load.m_slots = SlotsOf(spec);
     load.m_own_online = record.m_counts->m_online;
     load.m_own_batch = record.m_counts->m_batch;
     load.m_peers_online = peers.m_online;
