--- a/packages/online/attempt_plan.h
+++ b/packages/online/attempt_plan.h
@@ -3,10 +3,12 @@
 #ifndef BRONZECROSS_ONLINE_ATTEMPT_PLAN_H_
 #define BRONZECROSS_ONLINE_ATTEMPT_PLAN_H_
 
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "http/http_message.h"
+#include "online/key_guard.h"
 
 namespace bronzecross {
 
@@ -14,6 +16,8 @@
   // Lives until the reply is written.
   const HttpRequest* m_request = nullptr;
   std::string m_id;
+  // Cancels the request when its key is withdrawn; null on open routes.
+  std::shared_ptr<GuardedCall> m_guard;
   std::string m_workspace;
   // One of both is empty.
   std::string m_model;
--- a/packages/online/attempts.cc
+++ b/packages/online/attempts.cc
@@ -31,7 +31,7 @@
   return fd >= 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-Error HungUp() {
+Error GivenUp() {
   return Error{ResultCode::kCancelled, "the caller hung up"};
 }
 
@@ -51,7 +51,7 @@
 
 void Attempts::SetLast(const Error& error) {
   m_may_have_run = m_may_have_run || error.m_run == RunState::kUnknown;
-  m_last = error;
+  m_last = m_plan.m_guard != nullptr ? m_plan.m_guard->Explain(error) : error;
   m_last.m_run = m_may_have_run ? RunState::kUnknown : RunState::kNotRun;
 }
 
@@ -66,10 +66,18 @@
   call.m_headers.push_back(
       {std::string(kTimeoutHeader), std::to_string(call.m_timeout.count())});
   call.m_watch_fd = request.m_client_fd;
+  call.m_cancel =
+      m_plan.m_guard != nullptr ? &m_plan.m_guard->m_cancel : nullptr;
   call.m_fresh_connection = !m_plan.m_idempotent;
   return call;
 }
 
+// Whether the caller hung up or its key was withdrawn.
+bool Attempts::IsGivenUp() const {
+  return HasHungUp(m_plan.m_request->m_client_fd) ||
+         (m_plan.m_guard != nullptr && m_plan.m_guard->m_cancel.IsCancelled());
+}
+
 Status Attempts::CheckAllowed() {
   if (MonotonicNow() >= m_plan.m_deadline) {
     return tl::unexpected<Error>(TooLate());
@@ -121,8 +129,8 @@
   }
   Result<PickedUpstream> picked = tl::unexpected<Error>(TooLate());
   while (MonotonicNow() < m_plan.m_deadline) {
-    if (HasHungUp(m_plan.m_request->m_client_fd)) {
-      picked = tl::unexpected<Error>(HungUp());
+    if (IsGivenUp()) {
+      picked = tl::unexpected<Error>(GivenUp());
       break;
     }
     if (!queue.WaitTurn(waiter, std::min(kHangUpCheck,
@@ -236,7 +244,7 @@
     return false;
   }
   while (MonotonicNow() < until) {
-    if (HasHungUp(m_plan.m_request->m_client_fd)) {
+    if (IsGivenUp()) {
       return false;
     }
     SleepFor(std::min(kHangUpCheck, until - MonotonicNow()));
--- a/packages/online/attempts.h
+++ b/packages/online/attempts.h
@@ -47,6 +47,7 @@
   Result<PickedUpstream> Pick();
   Result<PickedUpstream> PickInTurn(const UpstreamNeed& need);
   // Checks that the request may be sent at all.
+  bool IsGivenUp() const;
   Status CheckAllowed();
   HttpCall MakeCall(const PickedUpstream& upstream) const;
   // Returns whether the answer that has begun is passed to the caller. If not,
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -7,6 +7,7 @@
 
 #include "admin_server.h"
 #include "base/log.h"
+#include "fresh_gate.h"
 #include "peers/h2_socket.h"
 #include "request_router.h"
 
@@ -16,6 +17,7 @@
 using nlohmann::json;
 
 constexpr Millis kDrainPoll{20};
+constexpr Millis kDrainQuiet{1000};
 
 MembershipOptions MakeMembershipOptions(const Settings& settings) {
   MembershipOptions options;
@@ -26,9 +28,17 @@
   options.m_vm_list_url = settings.m_vm_list_url;
   options.m_vm_list_poll = settings.m_vm_list_poll;
   options.m_heartbeat_interval = settings.m_heartbeat_interval;
+  options.m_max_heartbeats_per_s = settings.m_max_heartbeats_per_s;
   return options;
 }
 
+// The cached manifest in the data folder; empty on a VM without one.
+std::string MakeCachePath(const Settings& settings) {
+  return settings.m_data_dir.empty()
+             ? ""
+             : settings.m_data_dir + "/manifest-cache.json";
+}
+
 LedgerOptions MakeLedgerOptions(const Settings& settings) {
   LedgerOptions options;
   options.m_prefix = settings.m_store_prefix + "ledgers/";
@@ -84,19 +94,27 @@
                m_peer_server),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
+      m_key_guard(m_config, [this] { return m_distributor.IsFresh(); }),
       m_crashes(m_membership, m_http),
       m_online(m_config,
                m_limiter,
                m_upstreams,
                m_crashes,
                m_http,
+               m_key_guard,
                MakeOnlineOptions(settings)),
       m_batch(m_config, m_store, m_upstreams, m_http, settings.m_store_prefix),
-      m_config_follower(m_config,
-                        m_store,
-                        settings.m_store_prefix + "manifest"),
-      m_caller_server(MakeCallerOptions(settings),
-                      MakeCallerHandlers(m_settings, m_online, m_batch)),
+      m_distributor(m_config,
+                    m_store,
+                    m_membership,
+                    m_peer_server,
+                    settings.m_store_prefix + "manifest",
+                    MakeCachePath(settings)),
+      m_caller_server(
+          MakeCallerOptions(settings),
+          GateStaleConfig(MakeCallerHandlers(m_settings, m_online, m_batch),
+                          m_config,
+                          [this] { return m_distributor.IsFresh(); })),
       m_admin_server(MakeAdminOptions(settings),
                      MakeAdminHandlers({[this] { return IsReady(); },
                                         [this] { return MakeStatus(); }})) {}
@@ -108,10 +126,11 @@
       return started;
     }
   }
-  m_config_follower.Start();
+  m_distributor.Start();
   m_membership.Start();
   m_ledger.Start();
   m_upstreams.Start();
+  m_key_guard.Start();
   const json record = {{"id", m_settings.m_vm_id},
                        {"zone", m_settings.m_availability_zone},
                        {"incarnation", m_membership.Self().m_incarnation},
@@ -152,7 +171,7 @@
 }
 
 bool Daemon::IsReady() const {
-  return !m_draining && m_config.Get()->Generation() > 0;
+  return !m_draining && m_distributor.IsFresh();
 }
 
 json Daemon::MakeStatus() const {
@@ -160,18 +179,35 @@
   for (const Member& member : m_membership.Live()) {
     live.push_back(member.m_id);
   }
+  json members = json::array();
+  for (const Member& member : m_membership.Known()) {
+    members.push_back({{"id", member.m_id},
+                       {"incarnation", member.m_incarnation},
+                       {"leaving", IsLeaving(member)}});
+  }
   return {{"vm", m_settings.m_vm_id},
           {"zone", m_settings.m_availability_zone},
           {"ready", IsReady()},
           {"draining", m_draining.load()},
           {"generation", m_config.Get()->Generation()},
           {"live", live},
+          {"members", members},
+          {"leaving_upstreams", m_membership.LeavingUpstreams()},
+          {"config", m_distributor.MakeStatus()},
           {"lease_held", m_vm_lease != nullptr && m_vm_lease->IsHeld()},
           {"store_calls", m_store.Calls()},
           {"peer_bytes", PeerBytesTotal()},
           {"active_requests", m_caller_server.ActiveRequests()}};
 }
 
+// A connection that is idle may carry a request that is on its way, so idle
+// ones are closed only when none has been used for a while.
+bool Daemon::IsQuiet() const {
+  return m_caller_server.ActiveRequests() == 0 &&
+         (m_caller_server.OpenConnections() == 0 ||
+          MonotonicNow() - m_caller_server.LastActivity() >= kDrainQuiet);
+}
+
 void Daemon::Drain() {
   Log(Severity::kInfo, LogPart::kMain, "Draining.",
       {{"active", m_caller_server.ActiveRequests()}});
@@ -181,14 +217,18 @@
   SleepFor(m_settings.m_drain_notice);
   m_caller_server.StopListening();
   const Millis deadline = MonotonicNow() + m_settings.m_drain_timeout;
-  while (m_caller_server.ActiveRequests() > 0 && MonotonicNow() < deadline) {
+  while (!IsQuiet() && MonotonicNow() < deadline) {
     SleepFor(kDrainPoll);
   }
+  Log(Severity::kInfo, LogPart::kMain, "Closing the callers' connections.",
+      {{"active", m_caller_server.ActiveRequests()},
+       {"open", m_caller_server.OpenConnections()}});
   m_caller_server.Stop();
+  m_key_guard.Stop();
   m_batch.Stop();
   m_ledger.Stop();
   m_vm_lease->Stop();
-  m_config_follower.Stop();
+  m_distributor.Stop();
   m_upstreams.Stop();
   m_membership.Stop();
   m_peer_server.Stop();
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -29,7 +29,8 @@
   bool m_correct = false;
   // Whether the answer ended as a whole one, right or wrong.
   bool m_whole = false;
-  // "not_run", "unknown" or empty.
+  // "not_run", "unknown" or empty; of a lost connection, whether a byte of the
+  // request was sent.
   std::string m_run;
   std::string m_error_code;
   double m_latency_ms = 0;
