--- a/packages/online/attempts.cc
+++ b/packages/online/attempts.cc
@@ -13,6 +13,7 @@
 namespace bronzecross {
 namespace {
 
+constexpr int kMultipleChoices = 300;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
@@ -221,8 +222,13 @@
                 absl::StrCat("the upstream answered ", status),
                 RunState::kUnknown, retry_after});
   if (retry_after > Millis(0)) {
+    const RetryAfterPolicy policy = m_shared.Options().m_throttle.m_retry_after;
     m_shared.Upstreams().KeepQuiet(name, MonotonicNow() + retry_after);
-    if (WaitOut(name, retry_after)) {
+    // The upstream may be picked again after its quiet time, which bounds what
+    // is sent there, so that no retry budget is needed.
+    if (retry_after <= kMaxWaitOut &&
+        (policy == RetryAfterPolicy::kWhenFull ||
+         (policy == RetryAfterPolicy::kSame && WaitOut(name, retry_after)))) {
       return true;
     }
   }
@@ -232,8 +238,7 @@
 
 bool Attempts::WaitOut(const std::string& upstream, Millis retry_after) {
   const Millis until = MonotonicNow() + retry_after;
-  if (!m_shared.Options().m_throttle.m_wait_out || retry_after > kMaxWaitOut ||
-      until >= m_plan.m_deadline ||
+  if (until >= m_plan.m_deadline ||
       std::find(m_waited_out.begin(), m_waited_out.end(), upstream) !=
           m_waited_out.end()) {
     return false;
@@ -300,8 +305,13 @@
 }
 
 void Attempts::Succeeded(const Attempt& attempt) {
-  if (attempt.m_stream->HttpStatus() < kServerError) {
+  const int status = attempt.m_stream->HttpStatus();
+  if (status < kMultipleChoices) {
     m_shared.Upstreams().ReportAnswer(attempt.m_upstream);
+  } else if (status < kServerError) {
+    // Refusals are fast. Learned as service times, they draw all requests to
+    // the upstream that refuses them.
+    m_shared.Upstreams().ReportOutcome(attempt.m_upstream.m_name, false);
   }
   if (m_plan.m_fingerprint != 0 &&
       IsSuspect(m_shared.Crashes().Total(m_plan.m_fingerprint))) {
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -79,10 +79,14 @@
 }
 
 // Fills in what the body says of the upstreams that suit it.
-void DescribeCompletion(AttemptPlan& plan, const json& body) {
+void DescribeCompletion(AttemptPlan& plan,
+                        const json& body,
+                        bool prefix_routing) {
   plan.m_id = RandomId();
   plan.m_model = body["model"];
-  plan.m_prefixes = PrefixHashes(PromptText(body));
+  if (prefix_routing) {
+    plan.m_prefixes = PrefixHashes(PromptText(body));
+  }
   plan.m_fingerprint = RequestFingerprint(plan.m_workspace, body);
 }
 
@@ -187,7 +191,7 @@
   CountMetric("bronzecross_online_requests_total",
               {{"workspace", caller.m_workspace}});
   plan.m_workspace = caller.m_workspace;
-  DescribeCompletion(plan, *body);
+  DescribeCompletion(plan, *body, m_shared.Options().m_prefix_routing);
   plan.m_guard = m_keys.Watch(std::move(caller));
   return RunAdmitted(std::move(plan), [&](AttemptPlan admitted_plan) {
     return WantsStream(*body)
@@ -243,7 +247,7 @@
   if (!deadline) {
     return ErrorReply(deadline.error());
   }
-  DescribeCompletion(plan, *body);
+  DescribeCompletion(plan, *body, m_shared.Options().m_prefix_routing);
   return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body))
                             : CompletePlain(std::move(plan));
 }
