--- a/packages/ledger/ask_copies.cc
+++ b/packages/ledger/ask_copies.cc
@@ -23,14 +23,17 @@
     std::span<const std::string> copies,
     size_t need,
     Millis grace,
+    const std::shared_ptr<CallTracker>& tracker,
     const CopyQuestion& ask) {
   const std::shared_ptr<Gathering> gathering = std::make_shared<Gathering>();
   const size_t count = copies.size();
   absl::MutexLock lock(&gathering->m_mutex);
   gathering->m_answers.resize(count);
   for (size_t i = 0; i < count; ++i) {
-    std::thread([gathering, ask, i, vm = copies[i]] {
+    tracker->Begin();
+    std::thread([gathering, tracker, ask, i, vm = copies[i]] {
       Result<CopyState> answer = ask(vm);
+      tracker->End();
       absl::MutexLock answer_lock(&gathering->m_mutex);
       ++gathering->m_answered;
       gathering->m_valid += answer && IsValidCopy(*answer) ? 1 : 0;
--- a/packages/ledger/ask_copies.h
+++ b/packages/ledger/ask_copies.h
@@ -4,12 +4,14 @@
 #define BRONZECROSS_LEDGER_ASK_COPIES_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "base/error.h"
+#include "ledger/call_tracker.h"
 #include "ledger/copy_store.h"
 
 namespace bronzecross {
@@ -24,11 +26,13 @@
 // Returns one answer for each of `copies`, nothing for those that have not
 // answered. Waits for all, or, once `need` valid answers are there, at most
 // `grace` for the rest. `ask` must end by itself; it is called on own threads
-// that may outlive this call, so it must own what it uses.
+// that may outlive this call; `tracker` counts them, and what `ask` uses must
+// stay until it is idle.
 std::vector<std::optional<Result<CopyState>>> AskCopies(
     std::span<const std::string> copies,
     size_t need,
     Millis grace,
+    const std::shared_ptr<CallTracker>& tracker,
     const CopyQuestion& ask);
 
 }  // namespace bronzecross
--- a/packages/ledger/replicated_ledger.cc
+++ b/packages/ledger/replicated_ledger.cc
@@ -63,6 +63,7 @@
 
 ReplicatedLedger::~ReplicatedLedger() {
   Stop();
+  m_calls->WaitIdle();
 }
 
 void ReplicatedLedger::Start() {
@@ -198,7 +199,7 @@
                                            const LedgerSegment& segment) {
   const size_t need = RecoveryNeed(segment.m_copies.size());
   const std::vector<std::optional<Result<CopyState>>> answers =
-      AskCopies(segment.m_copies, need, kGrace,
+      AskCopies(segment.m_copies, need, kGrace, m_calls,
                 [peers = m_peers, ledger = std::string(id), epoch,
                  number = segment.m_number](const std::string& vm) mutable {
                   return peers.Fence(vm, ledger, epoch, number);
@@ -302,7 +303,7 @@
   const size_t need = RecoveryNeed(segment.m_copies.size());
   std::vector<uint64_t> held;
   for (const std::optional<Result<CopyState>>& answer :
-       AskCopies(segment.m_copies, need, kGrace,
+       AskCopies(segment.m_copies, need, kGrace, m_calls,
                  [peers = m_peers, ledger = std::string(id),
                  number = segment.m_number](const std::string& vm) mutable {
                    return peers.State(vm, ledger, number);
--- a/packages/ledger/replicated_ledger.h
+++ b/packages/ledger/replicated_ledger.h
@@ -11,6 +11,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include "ledger/call_tracker.h"
 #include "ledger/copy_peers.h"
 #include "ledger/copy_store.h"
 #include "ledger/index_store.h"
@@ -83,6 +84,8 @@
   Membership& m_membership;
   IndexStore m_indexes;
   CopyPeers m_peers;
+  // Of calls that recoveries and reads did not wait for.
+  const std::shared_ptr<CallTracker> m_calls = std::make_shared<CallTracker>();
   std::unique_ptr<CopyStore> m_copies;
   std::unique_ptr<LedgerRepair> m_repair;
   absl::Mutex m_mutex;
--- a/packages/receipts/receipt_service.cc
+++ b/packages/receipts/receipt_service.cc
@@ -21,6 +21,8 @@
 // this, while a running request is waited for by asking again.
 constexpr Millis kSlice{2000};
 constexpr Millis kRetry{50};
+// Bounds the store calls of the requests that wait for a new owner.
+constexpr Millis kLookupInterval{200};
 constexpr Millis kMaintainInterval{5000};
 constexpr Millis kCloseTimeout{5000};
 constexpr int kMaxHops = 1;
@@ -182,6 +184,10 @@
     if (!slot.m_owner.empty() && IsLive(slot.m_owner)) {
       return slot.m_owner;
     }
+    if (MonotonicNow() < slot.m_next_lookup) {
+      return ChooseShardOwner(shard, m_membership.Live());
+    }
+    slot.m_next_lookup = MonotonicNow() + kLookupInterval;
   }
   std::string owner;
   const Result<std::optional<KvEntry>> entry = m_store.Get(Key(shard));
@@ -285,11 +291,16 @@
       return Fail(ResultCode::kNotOwner, "this VM is shutting down");
     }
   }
+  if (MonotonicNow() < slot.m_next_take) {
+    return Fail(ResultCode::kNotOwner, "this VM does not own the shard");
+  }
   broken = std::move(slot.m_shard);
   slot.m_shard = nullptr;
   Result<std::shared_ptr<ReceiptShard>> taken = TakeOver(shard);
   if (taken) {
     slot.m_shard = *taken;
+  } else {
+    slot.m_next_take = MonotonicNow() + kLookupInterval;
   }
   return taken;
 }
--- a/packages/receipts/receipt_service.h
+++ b/packages/receipts/receipt_service.h
@@ -58,9 +58,12 @@
     // Held while the shard is taken over, so that one thread does it.
     absl::Mutex m_take_mutex;
     std::shared_ptr<ReceiptShard> m_shard ABSL_GUARDED_BY(m_take_mutex);
+    // No takeover is tried, and the owner is not looked up, before these.
+    Millis m_next_take ABSL_GUARDED_BY(m_take_mutex);
     absl::Mutex m_mutex;
     // The last known owner; empty: look it up.
     std::string m_owner ABSL_GUARDED_BY(m_mutex);
+    Millis m_next_lookup ABSL_GUARDED_BY(m_mutex);
   };
 
   Result<HttpReply> RunAt(const std::string& vm,
--- a/tests/integration/replicated_ledger_test.cc
+++ b/tests/integration/replicated_ledger_test.cc
@@ -3,6 +3,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -129,4 +131,130 @@
   CHECK(ReadAll(vm, "led") == MakeRecords(0, count));
 }
 
+// Guards against damage that spreads or is served, and against a replaced disk
+// that stays empty.
+TEST_CASE("damaged and lost copies are fetched again") {
+  Cluster cluster(Options(3));
+  LedgerVm vm(cluster, "tester-0");
+  Writer writer = *vm.Ledger().Create("led");
+  REQUIRE(writer->Append(MakeRecords(0, 1000)).has_value());
+  const auto segment_file = [&cluster](int holder) {
+    return cluster.DataFolder(holder) + "/ledgers/led/0-0.seg";
+  };
+  const auto content = [&](int holder) {
+    std::ifstream file(segment_file(holder), std::ios::binary);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  };
+  REQUIRE(WaitFor([&] {
+    return content(0).size() == content(1).size() &&
+           content(1).size() == content(2).size();
+  }));
+  const std::string whole = content(0);
+  REQUIRE(writer->Seal().has_value());
+
+  cluster.Vm(0).Kill();
+  {
+    std::fstream file(segment_file(0),
+                      std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(whole.size() / 2));
+    file.write("damage", 6);
+  }
+  cluster.StartVm(0);
+  CHECK(ReadAll(vm, "led") == MakeRecords(0, 1000));
+  CHECK(WaitFor([&] { return content(0) == whole; }));
+
+  cluster.Vm(1).Kill();
+  fs::remove_all(cluster.DataFolder(1));
+  cluster.StartVm(1);
+  CHECK(WaitFor([&] { return content(1) == whole; }));
+  cluster.Vm(2).Kill();
+  fs::resize_file(segment_file(2), whole.size() - 5);
+  cluster.StartVm(2);
+  CHECK(WaitFor([&] { return content(2) == whole; }));
+}
+
+// Guards against a writer that stops with the store, and against store writes
+// that are done twice or given up when only their answer was lost.
+TEST_CASE("store outages and lost answers stop no open writer") {
+  Cluster cluster(Options(4));
+  LedgerVm vm(cluster, "tester-0");
+  LedgerVm other(cluster, "tester-1");
+  KvFaults faults;
+  faults.m_lose_answers = 1;
+  cluster.Kv().SetFaults(faults);
+  Writer writer = *vm.Ledger().Create("led");
+  REQUIRE(writer->Append(MakeRecords(0, 10)) == 0);
+  Writer newer = *other.Ledger().TakeOver("led");
+  CHECK(newer->Epoch() == writer->Epoch() + 1);
+  REQUIRE(newer->Append(MakeRecords(10, 10)) == 10);
+
+  faults = {};
+  faults.m_outage = true;
+  cluster.Kv().SetFaults(faults);
+  REQUIRE(newer->Append(MakeRecords(20, 10)) == 20);
+  CHECK(other.Ledger().Create("led-2").error().m_code ==
+        ResultCode::kStoreUnavailable);
+  CHECK(ReadAll(other, "led") == MakeRecords(0, 30));
+  cluster.Kv().SetFaults({});
+  const int killed = HolderOf(other, "led", 0);
+  cluster.Kv().SetFaults(faults);
+  cluster.Vm(killed).Kill();
+  REQUIRE(newer->Append(MakeRecords(30, 10)) == 30);
+  cluster.Kv().SetFaults({});
+  CHECK(WaitFor([&] {
+    const LedgerIndex index = other.Indexes().Load("led")->m_index;
+    return index.m_segments.back().m_epoch == 2 &&
+           index.m_segments.back().m_first >= 30;
+  }));
+  faults = {};
+  faults.m_lose_answers = 1;
+  cluster.Kv().SetFaults(faults);
+  REQUIRE(newer->Append(MakeRecords(40, 10)) == 40);
+  REQUIRE(newer->Seal().has_value());
+  CHECK(ReadAll(vm, "led") == MakeRecords(0, 50));
+}
+
+// Guards against two writers on the two sides of a partition.
+TEST_CASE("a writer parted from most copies acknowledges nothing") {
+  ClusterOptions options = Options(3);
+  options.m_proxies = true;
+  Cluster cluster(options);
+  // The first tester sees the copies through vm-0's proxies.
+  for (int vm = 0; vm < 3; ++vm) {
+    cluster.VmList().ShowPort("tester-0", Cluster::VmId(vm),
+                              cluster.PeerProxy(0, vm).Address().m_port);
+  }
+  LedgerVm parted(cluster, "tester-0");
+  LedgerVm other(cluster, "tester-1");
+  Writer old = *parted.Ledger().Create("led");
+  REQUIRE(old->Append(MakeRecords(0, 10)) == 0);
+  ProxyFaults drop;
+  drop.m_drop_forward = true;
+  for (const int vm : {0, 1}) {
+    cluster.PeerProxy(0, vm).SetFaults(drop);
+  }
+  Result<uint64_t> outcome = 0;
+  std::thread appending([&] { outcome = old->Append(MakeRecords(99, 1)); });
+  Writer newer = *other.Ledger().TakeOver("led");
+  REQUIRE(newer->Append(MakeRecords(20, 5)).has_value());
+  appending.join();
+  CHECK_FALSE(outcome.has_value());
+  for (const int vm : {0, 1}) {
+    cluster.PeerProxy(0, vm).SetFaults({});
+    // The proxy lost bytes inside the connections, which TCP would not.
+    cluster.PeerProxy(0, vm).CutAll();
+  }
+  CHECK_FALSE(old->Append(MakeRecords(98, 1)).has_value());
+  const Result<Records> records = ReadAll(other, "led");
+  REQUIRE(records.has_value());
+  CHECK(Records(records->begin(), records->begin() + 10) == MakeRecords(0, 10));
+  CHECK(Records(records->end() - 5, records->end()) == MakeRecords(20, 5));
+  Result<Records> seen = Fail(ResultCode::kNotFound, "not read yet");
+  CHECK(WaitFor([&] {
+    seen = ReadAll(parted, "led");
+    return seen.has_value();
+  }));
+  CHECK(*records == *seen);
+}
+
 }  // namespace bronzecross
