--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -128,10 +128,15 @@
   out.m_request_timeout =
       GetMillis(online, "request_timeout_ms", 60'000, 100, 3'600'000);
   out.m_max_queue = online.GetInt("max_queue", 256, 0, 100'000);
+  out.m_wait_out_retry_after = online.GetBool("wait_out_retry_after", true);
+  out.m_cache_refusals = online.GetBool("cache_refusals", true);
+  out.m_count_every_5xx = online.GetBool("count_every_5xx", true);
   online.Finish();
   TomlTable membership(root.GetTable("membership"), faults);
   out.m_heartbeat_interval =
       GetMillis(membership, "heartbeat_ms", 100, 20, 10'000);
+  out.m_max_heartbeats_per_s =
+      membership.GetInt("max_heartbeats_per_s", 40, 4, 10'000);
   membership.Finish();
   TomlTable drain(root.GetTable("drain"), faults);
   out.m_drain_notice = GetMillis(drain, "notice_ms", 3000, 0, 600'000);
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -3,14 +3,19 @@
 #ifndef BRONZECROSS_ONLINE_ONLINE_SERVICE_H_
 #define BRONZECROSS_ONLINE_ONLINE_SERVICE_H_
 
+#include <functional>
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "config/config_holder.h"
 #include "http/http_client.h"
 #include "http/http_message.h"
 #include "limits/limiter.h"
+#include "online/attempts.h"
 #include "online/authenticator.h"
 #include "receipts/receipt_service.h"
+#include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
 
 namespace bronzecross {
@@ -20,8 +25,10 @@
   OnlineService(ConfigHolder& config,
                 Limiter& limiter,
                 UpstreamRegistry& upstreams,
+                CrashGuard& crashes,
                 HttpClient& http,
-                Millis request_timeout);
+                KeyGuard& keys,
+                const OnlineOptions& options);
 
   // From now on requests with an Idempotency-Key go through `receipts`. Call
   // before requests arrive.
@@ -35,34 +42,23 @@
   HttpReply CallService(const HttpRequest& request);
 
  private:
-  // How an admitted request is sent: its workspace, and what its route says.
-  struct Sending {
-    Caller m_caller;
-    bool m_idempotent = true;
-    Millis m_timeout;
-  };
-
+  // Finds the caller and takes one token of its workspace.
+  Result<Caller> AdmitCaller(const HttpRequest& request,
+                             const ConfigSnapshot& config);
   // Runs an admitted request: once over all VMs if it has an Idempotency-Key
   // and a workspace, by `send` otherwise.
-  HttpReply RunAdmitted(const HttpRequest& request,
-                        Sending sending,
+  HttpReply RunAdmitted(const AttemptPlan& plan,
                         const std::function<HttpReply()>& send);
   // Sends a request that this or another VM admitted to an upstream.
-  HttpReply SendForReceipt(const HttpRequest& request);
-  HttpReply SendToService(const HttpRequest& request, const RouteSpec& route);
-  // Finds the caller and takes one token of its workspace.
-  Result<Caller> AdmitCaller(const HttpRequest& request,
-                             const ConfigSnapshot& config);
-  HttpReply CompletePlain(const HttpRequest& request, std::string_view model);
-  HttpReply CompleteStream(const HttpRequest& request,
-                           std::string_view model,
-                           Caller caller);
+  HttpReply SendForReceipt(const KeyedRequest& request);
+  HttpReply SendCompletion(AttemptPlan plan, nlohmann::json body);
+  HttpReply CompletePlain(AttemptPlan plan);
+  HttpReply CompleteStream(AttemptPlan plan, nlohmann::json body);
 
   ConfigHolder& m_config;
   Limiter& m_limiter;
-  UpstreamRegistry& m_upstreams;
-  HttpClient& m_http;
-  const Millis m_request_timeout;
+  KeyGuard& m_keys;
+  AttemptShared m_shared;
   ReceiptService* m_receipts = nullptr;
 };
 
--- a/packages/receipts/receipt_service.cc
+++ b/packages/receipts/receipt_service.cc
@@ -35,6 +35,7 @@
   }
   return {{"shard", shard},
           {"hops", hops},
+          {"workspace", request.m_workspace},
           {"id", request.m_receipt_id},
           {"idempotent", request.m_idempotent},
           {"method", request.m_request.m_method},
@@ -45,6 +46,7 @@
 
 KeyedRequest FromMessage(const json& message) {
   KeyedRequest request;
+  message.at("workspace").get_to(request.m_workspace);
   message.at("id").get_to(request.m_receipt_id);
   message.at("idempotent").get_to(request.m_idempotent);
   message.at("method").get_to(request.m_request.m_method);
@@ -136,6 +138,7 @@
                               const HttpRequest& request,
                               Millis timeout) {
   KeyedRequest keyed;
+  keyed.m_workspace = workspace;
   keyed.m_receipt_id = ReceiptId(workspace, key);
   keyed.m_idempotent = idempotent;
   keyed.m_request.m_method = request.m_method;
--- a/packages/receipts/receipt_shard.cc
+++ b/packages/receipts/receipt_shard.cc
@@ -191,8 +191,7 @@
                                          RunState::kNotRun});
     }
   }
-  return Settle(request, std::move(record),
-                CollectReply(executor(request.m_request)));
+  return Settle(request, std::move(record), CollectReply(executor(request)));
 }
 
 Result<HttpReply> ReceiptShard::Settle(const KeyedRequest& request,
--- a/packages/receipts/receipt_shard.h
+++ b/packages/receipts/receipt_shard.h
@@ -16,6 +16,7 @@
 namespace bronzecross {
 
 struct KeyedRequest {
+  std::string m_workspace;
   std::string m_receipt_id;
   bool m_idempotent = false;
   HttpRequest m_request;
@@ -23,7 +24,7 @@
 
 // Sends the request to an upstream and returns the whole reply. A refusal
 // carries the header kRunHeader.
-using ReceiptExecutor = std::function<HttpReply(const HttpRequest&)>;
+using ReceiptExecutor = std::function<HttpReply(const KeyedRequest&)>;
 
 struct ReceiptOptions {
   Millis m_keep{24 * 3'600'000};
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -35,6 +35,7 @@
   bool m_proxies = false;
   // The half that each VM serves; shorter than the VMs, or "": all.
   std::vector<std::string> m_vm_halves;
+  int64_t m_vm_list_poll_ms = 200;
   // Further TOML for each VM's settings, for example "[log]\nlevel = ...".
   std::string m_settings;
   uint64_t m_seed = 1;
@@ -52,6 +53,7 @@
   int VmCount() const { return m_options.m_vms; }
   std::string Url(int vm) const;
   std::string AdminUrl(int vm) const;
+  int64_t PeerPort(int vm) const { return m_vms[vm]->m_peer; }
   static std::string VmId(int vm) { return "vm-" + std::to_string(vm); }
   // "key-<i>" is the key of workspace "ws-<i>".
   static std::string Key(int workspace) {
