--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -47,11 +47,11 @@
                              const ConfigSnapshot& config);
   // Runs an admitted request: once over all VMs if it has an Idempotency-Key
   // and a workspace, by `send` otherwise.
-  HttpReply RunAdmitted(const AttemptPlan& plan,
-                        const std::function<HttpReply()>& send);
-  // Sends a request that this or another VM admitted to an upstream.
-  HttpReply SendForReceipt(const KeyedRequest& request);
-  HttpReply SendCompletion(AttemptPlan plan, nlohmann::json body);
+  HttpReply RunAdmitted(AttemptPlan plan,
+                        const std::function<HttpReply(AttemptPlan)>& send);
+  // Sends a request that this or another VM admitted for `workspace`.
+  HttpReply SendForReceipt(const std::string& workspace,
+                           const HttpRequest& request);
   HttpReply CompletePlain(AttemptPlan plan);
   HttpReply CompleteStream(AttemptPlan plan, nlohmann::json body);
 
--- a/packages/receipts/receipt_service.cc
+++ b/packages/receipts/receipt_service.cc
@@ -35,8 +35,8 @@
   }
   return {{"shard", shard},
           {"hops", hops},
-          {"workspace", request.m_workspace},
           {"id", request.m_receipt_id},
+          {"workspace", request.m_workspace},
           {"idempotent", request.m_idempotent},
           {"method", request.m_request.m_method},
           {"path", request.m_request.m_path},
@@ -46,8 +46,8 @@
 
 KeyedRequest FromMessage(const json& message) {
   KeyedRequest request;
-  message.at("workspace").get_to(request.m_workspace);
   message.at("id").get_to(request.m_receipt_id);
+  message.at("workspace").get_to(request.m_workspace);
   message.at("idempotent").get_to(request.m_idempotent);
   message.at("method").get_to(request.m_request.m_method);
   message.at("path").get_to(request.m_request.m_path);
@@ -138,8 +138,8 @@
                               const HttpRequest& request,
                               Millis timeout) {
   KeyedRequest keyed;
-  keyed.m_workspace = workspace;
   keyed.m_receipt_id = ReceiptId(workspace, key);
+  keyed.m_workspace = workspace;
   keyed.m_idempotent = idempotent;
   keyed.m_request.m_method = request.m_method;
   keyed.m_request.m_path = request.m_path;
--- a/packages/receipts/receipt_shard.cc
+++ b/packages/receipts/receipt_shard.cc
@@ -191,7 +191,8 @@
                                          RunState::kNotRun});
     }
   }
-  return Settle(request, std::move(record), CollectReply(executor(request)));
+  return Settle(request, std::move(record),
+                CollectReply(executor(request.m_workspace, request.m_request)));
 }
 
 Result<HttpReply> ReceiptShard::Settle(const KeyedRequest& request,
--- a/packages/receipts/receipt_shard.h
+++ b/packages/receipts/receipt_shard.h
@@ -16,15 +16,16 @@
 namespace bronzecross {
 
 struct KeyedRequest {
-  std::string m_workspace;
   std::string m_receipt_id;
+  std::string m_workspace;
   bool m_idempotent = false;
   HttpRequest m_request;
 };
 
-// Sends the request to an upstream and returns the whole reply. A refusal
-// carries the header kRunHeader.
-using ReceiptExecutor = std::function<HttpReply(const KeyedRequest&)>;
+// Sends the workspace's request to an upstream and returns the whole reply. A
+// refusal carries the header kRunHeader.
+using ReceiptExecutor =
+    std::function<HttpReply(const std::string& workspace, const HttpRequest&)>;
 
 struct ReceiptOptions {
   Millis m_keep{24 * 3'600'000};
