--- a/tests/integration/member_loss_test.cc
+++ b/tests/integration/member_loss_test.cc
@@ -85,7 +85,7 @@
 }
 
 // Guards against work sent to a VM or an upstream that is about to go.
-TEST_CASE("what one VM's list reports as leaving gets nothing new anywhere") {
+TEST_CASE("what the list reports as leaving gets nothing new anywhere") {
   Cluster cluster({});
   cluster.VmList().SetLeavingUpstream("engine-0", true);
   VmListEntry entry{Cluster::VmId(1), "127.0.0.1", cluster.PeerPort(1),
