Add the parts of batch jobs that are owned, dispatched and taken over

Cause: the thin batch service kept files and results in store values and ran a job on the accepting VM, so that a job was lost with it.

--- a/packages/batch/batch_item.cc
+++ b/packages/batch/batch_item.cc
@@ -1,5 +1,8 @@
 #include "batch/batch_item.h"
 
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 namespace bronzecross {
@@ -39,6 +42,31 @@
   return item;
 }
 
+Result<ItemRoute> FindItemRoute(const BatchItem& item,
+                                const ConfigSnapshot& config) {
+  if (item.m_url == "/v1/chat/completions" || item.m_url == "/v1/completions") {
+    if (item.m_method != "POST") {
+      return Fail(ResultCode::kMethodNotAllowed, "use POST");
+    }
+    if (config.FindModel(item.m_model) == nullptr) {
+      return Fail(ResultCode::kUnknownModel,
+                  absl::StrCat("there is no model \"", item.m_model, "\""));
+    }
+    return ItemRoute{"m:" + item.m_model, true};
+  }
+  const RouteSpec* route = config.FindRoute(item.m_url);
+  if (route == nullptr) {
+    return Fail(ResultCode::kUnknownRoute,
+                absl::StrCat("there is no route for ", item.m_url));
+  }
+  if (std::find(route->m_methods.begin(), route->m_methods.end(),
+                item.m_method) == route->m_methods.end()) {
+    return Fail(ResultCode::kMethodNotAllowed,
+                absl::StrCat("the route does not take ", item.m_method));
+  }
+  return ItemRoute{"s:" + route->m_service, route->m_idempotent};
+}
+
 std::string ResultLine(std::string_view custom_id, const HttpAnswer& answer) {
   json body = json::parse(answer.m_body, nullptr, false);
   if (body.is_discarded()) {
--- a/packages/batch/batch_item.h
+++ b/packages/batch/batch_item.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "base/error.h"
+#include "config/config_snapshot.h"
 #include "http/http_call.h"
 
 namespace bronzecross {
@@ -23,6 +24,18 @@
 // kMalformedBody.
 Result<BatchItem> ParseBatchItem(std::string_view line);
 
+// What an item needs of an upstream.
+struct ItemRoute {
+  // "m:<model>" or "s:<service>".
+  std::string m_need;
+  bool m_idempotent = true;
+};
+
+// Finds the model or the declared route that serves `item`. Fails with
+// kUnknownModel, kUnknownRoute or kMethodNotAllowed.
+Result<ItemRoute> FindItemRoute(const BatchItem& item,
+                                const ConfigSnapshot& config);
+
 // The output line for an item that an upstream answered.
 std::string ResultLine(std::string_view custom_id, const HttpAnswer& answer);
 
--- a/packages/batch/batch_service.cc
+++ b/packages/batch/batch_service.cc
@@ -1,73 +1,180 @@
 #include "batch/batch_service.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
 #include "base/log.h"
 #include "base/random.h"
 #include "http/http_error_reply.h"
+#include "peers/message.h"
 
 namespace bronzecross {
 namespace {
 
 using nlohmann::json;
 
-constexpr size_t kMaxFileBytes = 600 * 1024;
-constexpr size_t kMaxItemTries = 3;
-constexpr Millis kItemTimeout{60'000};
+constexpr Millis kCancelTimeout{1000};
+constexpr size_t kMaxSubmitKeyBytes = 256;
+constexpr int64_t kDefaultListLimit = 20;
+constexpr int64_t kMaxListLimit = 100;
 
-json PublicFile(const json& record) {
-  json file = record;
-  file.erase("content");
-  file.erase("workspace");
-  return file;
+std::vector<std::string> PathParts(std::string_view path) {
+  return absl::StrSplit(absl::string_view(path.data(), path.size()), '/',
+                        absl::SkipEmpty());
 }
 
-json PublicBatch(const json& record) {
-  json batch = record;
-  batch.erase("workspace");
-  batch.erase("writer");
-  return batch;
-}
-
-json MakeFile(std::string_view name,
-              std::string_view purpose,
-              std::string_view workspace,
-              std::string content) {
-  return {
-      {"id", "file-" + RandomId()}, {"object", "file"},
-      {"bytes", content.size()},    {"created_at", WallNow().count() / 1000},
-      {"filename", name},           {"purpose", purpose},
-      {"workspace", workspace},     {"content", std::move(content)}};
+std::string QueryValue(const HttpRequest& request, const std::string& name) {
+  const auto found = request.m_query.find(name);
+  return found == request.m_query.end() ? "" : found->second;
 }
 
 }  // namespace
 
-BatchService::BatchService(ConfigHolder& config,
-                           KvClient& store,
-                           UpstreamRegistry& upstreams,
-                           HttpClient& http,
-                           std::string prefix)
-    : m_config(config),
-      m_store(store),
-      m_upstreams(upstreams),
-      m_http(http),
-      m_prefix(std::move(prefix)) {}
+BatchService::BatchService(BatchParts parts, BatchOptions options)
+    : m_config(parts.m_config),
+      m_membership(parts.m_membership),
+      m_peer_server(parts.m_peer_server),
+      m_ledgers(parts.m_ledgers),
+      m_store(parts.m_store, parts.m_prefix),
+      m_context{m_store,
+                m_ledgers,
+                m_config,
+                m_membership,
+                parts.m_find_input,
+                [this](const std::string& vm,
+                       const std::string& method,
+                       const json& message,
+                       Millis timeout) {
+                  return CallVm(vm, method, message, timeout);
+                }},
+      m_owner(m_context, m_open_work),
+      m_dispatcher(m_context,
+                   m_open_work,
+                   parts.m_upstreams,
+                   parts.m_http,
+                   options) {
+  Register("batch.take", &BatchService::OnTake);
+  Register("batch.done", &BatchService::OnDone);
+  Register("batch.held", &BatchService::OnHeld);
+  Register("batch.adopt", &BatchService::OnAdopt);
+  Register("batch.cancel", &BatchService::OnCancel);
+  Register("upstream.yield", &BatchService::OnYield);
+  m_membership.AddSection(
+      "batch", {[this] { return m_owner.Announce(); },
+                [this](const std::string& from, const json& section) {
+                  m_open_work.Take(from, section, MonotonicNow());
+                }});
+}
 
 BatchService::~BatchService() {
   Stop();
 }
 
+void BatchService::Start() {
+  m_owner.Start();
+  m_dispatcher.Start();
+}
+
 void BatchService::Stop() {
-  m_stopping = true;
-  std::vector<std::thread> runners;
-  {
-    absl::MutexLock lock(&m_mutex);
-    runners.swap(m_runners);
+  // The dispatcher first: its results may belong to jobs of this VM.
+  m_dispatcher.Stop();
+  m_owner.Stop();
+}
+
+void BatchService::Register(std::string_view name, Method method) {
+  m_methods[std::string(name)] = method;
+  m_peer_server.Register(
+      name, PeerDispatch::kOnWorker,
+      [this, method](std::string_view body,
+                     Millis deadline) -> Result<std::string> {
+        const Result<json> message = DecodeMessage(body);
+        if (!message) {
+          return tl::unexpected<Error>(message.error());
+        }
+        try {
+          const Result<json> answer = (this->*method)(*message, deadline);
+          if (!answer) {
+            return tl::unexpected<Error>(answer.error());
+          }
+          return EncodeMessage(*answer);
+        } catch (const json::exception& error) {
+          return Fail(ResultCode::kMalformedBody, error.what());
+        }
+      });
+}
+
+Result<json> BatchService::CallVm(const std::string& vm,
+                                  const std::string& method,
+                                  const json& message,
+                                  Millis timeout) {
+  if (vm == m_membership.Self().m_id) {
+    return (this->*m_methods.at(method))(message, MonotonicNow() + timeout);
+  }
+  return m_membership.Call(vm, method, message, timeout);
+}
+
+Result<json> BatchService::OnTake(const json& message, Millis) {
+  const std::shared_ptr<JobRun> run =
+      m_owner.Find(message.at("job").get<std::string>());
+  if (run == nullptr) {
+    return Fail(ResultCode::kNotOwner, "this VM does not run the job");
+  }
+  return run->Take(message);
+}
+
+Result<json> BatchService::OnDone(const json& message, Millis deadline) {
+  const std::shared_ptr<JobRun> run =
+      m_owner.Find(message.at("job").get<std::string>());
+  if (run == nullptr) {
+    return Fail(ResultCode::kNotOwner, "this VM does not run the job");
   }
-  for (std::thread& runner : runners) {
-    runner.join();
+  std::vector<ItemOutcome> outcomes;
+  for (const json& outcome : message.at("results")) {
+    outcomes.push_back(OutcomeFromJson(outcome));
   }
+  const Status done = run->Done(outcomes, deadline);
+  if (!done) {
+    return tl::unexpected<Error>(done.error());
+  }
+  return json::object();
+}
+
+Result<json> BatchService::OnHeld(const json& message, Millis) {
+  const Member& self = m_membership.Self();
+  return json{{"holder", HolderName(self.m_id, self.m_incarnation)},
+              {"items", m_dispatcher.Held(message.at("job"))}};
+}
+
+Result<json> BatchService::OnAdopt(const json& message, Millis) {
+  const Status adopted =
+      m_owner.Adopt(message.at("job"), message.at("take_over").get<bool>());
+  if (!adopted) {
+    return tl::unexpected<Error>(adopted.error());
+  }
+  return json::object();
+}
+
+Result<json> BatchService::OnCancel(const json& message, Millis) {
+  const std::string id = message.at("job");
+  const std::shared_ptr<JobRun> run = m_owner.Find(id);
+  if (run != nullptr) {
+    run->Remind();
+  }
+  m_dispatcher.CancelJob(id);
+  return json::object();
+}
+
+Result<json> BatchService::OnYield(const json& message, Millis) {
+  m_dispatcher.Yield(message.at("upstream"), message.at("from"),
+                     message.at("online").get<int64_t>());
+  return json::object();
+}
+
+bool BatchService::IsOutputFile(std::string_view path) {
+  const std::vector<std::string> parts = PathParts(path);
+  return parts.size() >= 3 && parts[1] == "files" &&
+         ParseOutputFileId(parts[2]).has_value();
 }
 
 HttpReply BatchService::Handle(const HttpRequest& request) {
@@ -75,216 +182,206 @@
   if (!caller) {
     return ErrorReply(caller.error());
   }
+  if (IsOutputFile(request.m_path)) {
+    return GetFile(request, *caller);
+  }
   const Result<json> answer = Dispatch(request, *caller);
   if (!answer) {
     return ErrorReply(answer.error());
   }
-  if (answer->is_string()) {
-    HttpReply reply;
-    reply.m_headers.push_back({"Content-Type", "application/jsonl"});
-    reply.m_body = answer->get<std::string>();
-    return reply;
-  }
-  return JsonReply(200, answer->dump());
+  return JsonReply(
+      200, answer->dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 Result<json> BatchService::Dispatch(const HttpRequest& request,
                                     const Caller& caller) {
-  const std::vector<std::string> parts =
-      absl::StrSplit(request.m_path, '/', absl::SkipEmpty());
+  const std::vector<std::string> parts = PathParts(request.m_path);
   const bool post = request.m_method == "POST";
-  const std::string& kind = parts[1];
-  if (parts.size() == 2 && post) {
-    return kind == "files" ? CreateFile(request, caller)
-                           : CreateBatch(request, caller);
+  if (parts.size() == 2) {
+    return post ? Create(request, caller) : List(request, caller);
   }
-  if (parts.size() == 4 && kind == "batches" && post && parts[3] == "cancel") {
-    return CancelBatch(parts[2], caller);
+  if (parts.size() == 4 && post && parts[3] == "cancel") {
+    return Cancel(parts[2], caller);
   }
-  if (post || parts.size() < 3) {
+  if (parts.size() != 3 || request.m_method != "GET") {
     return Fail(ResultCode::kMethodNotAllowed, "no such call");
   }
-  const Result<KvEntry> entry = Load(kind, parts[2], caller);
-  if (!entry) {
-    return tl::unexpected<Error>(entry.error());
+  Result<StoredJob> job = LoadOwn(parts[2], caller);
+  if (!job) {
+    return tl::unexpected<Error>(job.error());
   }
-  const json record = json::parse(entry->m_value);
-  if (kind == "batches") {
-    return PublicBatch(record);
-  }
-  return parts.size() == 4 ? record.at("content") : PublicFile(record);
-}
-
-Result<KvEntry> BatchService::Load(std::string_view kind,
-                                   std::string_view id,
-                                   const Caller& caller) {
-  Result<std::optional<KvEntry>> entry = m_store.Get(
-      absl::StrCat(m_prefix, std::string(kind), "/", std::string(id)));
-  if (!entry) {
-    return tl::unexpected<Error>(entry.error());
-  }
-  if (!*entry ||
-      json::parse((*entry)->m_value).at("workspace") != caller.m_workspace) {
-    return Fail(ResultCode::kNotFound,
-                absl::StrCat("there is no ", std::string(id)));
-  }
-  return std::move(**entry);
+  return Show(std::move(job->m_job));
 }
 
-Status BatchService::Save(std::string_view kind,
-                          const json& record,
-                          int64_t expected_revision) {
-  json marked = record;
-  marked["writer"] = RandomId();
-  const Result<int64_t> done =
-      m_store.Commit({{absl::StrCat(m_prefix, std::string(kind), "/",
-                                    record.at("id").get<std::string>()),
-                       marked.dump(), expected_revision}});
-  if (!done) {
-    return tl::unexpected<Error>(done.error());
+Result<StoredJob> BatchService::LoadOwn(const std::string& id,
+                                        const Caller& caller) {
+  Result<StoredJob> job = m_store.Load(id);
+  if (job && job->m_job.m_workspace != caller.m_workspace) {
+    return Fail(ResultCode::kNotFound, absl::StrCat("there is no job ", id));
   }
-  return {};
+  return job;
 }
 
-Result<json> BatchService::CreateFile(const HttpRequest& request,
-                                      const Caller& caller) {
-  if (request.m_body.size() > kMaxFileBytes) {
-    return Fail(ResultCode::kBodyTooLarge, "the file is too large");
-  }
-  const json record = MakeFile(request.m_file_name, "batch", caller.m_workspace,
-                               request.m_body);
-  const Status saved = Save("files", record, 0);
-  if (!saved) {
-    return tl::unexpected<Error>(saved.error());
-  }
-  return PublicFile(record);
+json BatchService::Show(JobRecord job) const {
+  const std::optional<AnnouncedJob> told =
+      IsFinal(job.m_state) ? std::nullopt
+                           : m_open_work.Find(job.m_id, MonotonicNow());
+  if (!told) {
+    return PublicBatch(job);
+  }
+  job.m_counts = told->m_counts;
+  json batch = PublicBatch(job);
+  if (job.m_state == JobState::kValidating) {
+    batch["status"] = told->m_state;
+  }
+  batch["expected_late"] = told->m_late;
+  if (told->m_expected_end != Millis(0)) {
+    batch["expected_end_at"] = told->m_expected_end.count() / 1000;
+  }
+  return batch;
 }
 
-Result<json> BatchService::CreateBatch(const HttpRequest& request,
-                                       const Caller& caller) {
+Result<json> BatchService::Create(const HttpRequest& request,
+                                  const Caller& caller) {
   const json body = json::parse(request.m_body, nullptr, false);
   if (body.is_discarded() || !body.is_object() ||
-      !body.value("input_file_id", json()).is_string()) {
+      !body.value("input_file_id", json()).is_string() ||
+      !body.value("endpoint", json("")).is_string() ||
+      !body.value("completion_window", json("")).is_string()) {
     return Fail(ResultCode::kMalformedBody,
-                "the body must be a JSON object with \"input_file_id\"");
+                "the body must be a JSON object with a string "
+                "\"input_file_id\"");
+  }
+  const std::string submit_key(
+      FindHeader(request.m_headers, "Idempotency-Key"));
+  if (submit_key.size() > kMaxSubmitKeyBytes) {
+    return Fail(ResultCode::kInvalidArgument,
+                "the Idempotency-Key is too long");
+  }
+  JobRecord job;
+  job.m_completion_window = body.value("completion_window", "24h");
+  const Result<Millis> window = ParseCompletionWindow(job.m_completion_window);
+  if (!window) {
+    return tl::unexpected<Error>(window.error());
+  }
+  if (!submit_key.empty()) {
+    const Result<std::optional<StoredJob>> first =
+        m_store.FindSubmitted(caller.m_workspace, submit_key, request.m_body);
+    if (!first) {
+      return tl::unexpected<Error>(first.error());
+    }
+    if (*first) {
+      return Show((*first)->m_job);
+    }
   }
-  const Result<KvEntry> input =
-      Load("files", body["input_file_id"].get<std::string>(), caller);
+  job.m_id = "batch_" + RandomId();
+  job.m_workspace = caller.m_workspace;
+  job.m_endpoint = body.value("endpoint", "/v1/chat/completions");
+  job.m_input_file_id = body["input_file_id"];
+  job.m_metadata = body.value("metadata", json());
+  job.m_owner = m_membership.Self().m_id;
+  job.m_owner_incarnation = m_membership.Self().m_incarnation;
+  job.m_created = WallNow();
+  job.m_deadline = job.m_created + *window;
+  const Result<InputFile> input =
+      m_context.m_find_input(job.m_workspace, job.m_input_file_id);
   if (!input) {
     return tl::unexpected<Error>(input.error());
   }
-  const json record = {
-      {"id", "batch_" + RandomId()},
-      {"object", "batch"},
-      {"endpoint", body.value("endpoint", "/v1/chat/completions")},
-      {"input_file_id", body["input_file_id"]},
-      {"completion_window", body.value("completion_window", "24h")},
-      {"status", "in_progress"},
-      {"output_file_id", nullptr},
-      {"created_at", WallNow().count() / 1000},
-      {"request_counts", {{"total", 0}, {"completed", 0}, {"failed", 0}}},
-      {"workspace", caller.m_workspace}};
-  const Status saved = Save("batches", record, 0);
-  if (!saved) {
-    return tl::unexpected<Error>(saved.error());
-  }
-  const std::string id = record["id"];
-  absl::MutexLock lock(&m_mutex);
-  m_runners.emplace_back([this, id, caller] { RunJob(id, caller); });
-  return PublicBatch(record);
+  const Result<StoredJob> stored =
+      m_store.Submit(job, submit_key, request.m_body);
+  if (!stored) {
+    if (stored.error().m_run == RunState::kUnknown) {
+      // The record may have been written; then this VM is its owner.
+      m_owner.AdoptLater(job.m_id);
+    }
+    return tl::unexpected<Error>(stored.error());
+  }
+  if (stored->m_job.m_id == job.m_id) {
+    Log(Severity::kInfo, LogPart::kBatch, "Accepted a job.",
+        {{"job", job.m_id}, {"workspace", job.m_workspace}});
+    m_owner.Accept(*stored);
+  }
+  return Show(stored->m_job);
 }
 
-Result<json> BatchService::CancelBatch(std::string_view id,
-                                       const Caller& caller) {
-  const Result<KvEntry> entry = Load("batches", id, caller);
-  if (!entry) {
-    return tl::unexpected<Error>(entry.error());
-  }
-  json record = json::parse(entry->m_value);
-  if (record["status"] == "in_progress") {
-    record["status"] = "cancelled";
-    const Status saved = Save("batches", record, entry->m_mod_revision);
+Result<json> BatchService::Cancel(const std::string& id, const Caller& caller) {
+  Result<StoredJob> job = LoadOwn(id, caller);
+  if (!job) {
+    return tl::unexpected<Error>(job.error());
+  }
+  if (!IsFinal(job->m_job.m_state) &&
+      job->m_job.m_state != JobState::kCancelling) {
+    job->m_job.m_state = JobState::kCancelling;
+    const Result<int64_t> saved = m_store.Save(job->m_job, job->m_revision);
     if (!saved) {
       return tl::unexpected<Error>(saved.error());
     }
   }
-  return PublicBatch(record);
-}
-
-void BatchService::RunJob(const std::string& id, const Caller& caller) {
-  const Result<KvEntry> entry = Load("batches", id, caller);
-  if (!entry) {
-    LogError(Severity::kError, LogPart::kBatch, "Cannot read a job.",
-             entry.error());
-    return;
-  }
-  json record = json::parse(entry->m_value);
-  const Result<KvEntry> input =
-      Load("files", record["input_file_id"].get<std::string>(), caller);
-  if (!input) {
-    LogError(Severity::kError, LogPart::kBatch, "Cannot read a job's input.",
-             input.error());
-    return;
-  }
-  std::string output;
-  int64_t total = 0;
-  int64_t failed = 0;
-  const std::string content = json::parse(input->m_value).at("content");
-  for (const absl::string_view line :
-       absl::StrSplit(content, '\n', absl::SkipEmpty())) {
-    if (m_stopping) {
-      return;
+  if (job->m_job.m_state == JobState::kCancelling) {
+    // The owner and the dispatchers; whoever is not reached learns of it from
+    // the owner's announcement, and the owner from the search of the store.
+    for (const Member& member : m_membership.Live()) {
+      const Result<json> told =
+          CallVm(member.m_id, "batch.cancel", {{"job", id}}, kCancelTimeout);
+      if (!told) {
+        LogError(Severity::kWarning, LogPart::kBatch,
+                 "Cannot tell a VM that a job is cancelled.", told.error());
+      }
     }
-    const std::string result =
-        RunItem(std::string_view(line.data(), line.size()));
-    ++total;
-    failed += json::parse(result)["error"].is_null() ? 0 : 1;
-    output += result;
-  }
-  const json file =
-      MakeFile("output.jsonl", "batch_output", caller.m_workspace, output);
-  const Status saved = Save("files", file, 0);
-  record["status"] = "completed";
-  record["output_file_id"] = file["id"];
-  record["request_counts"] = {
-      {"total", total}, {"completed", total - failed}, {"failed", failed}};
-  const Status done =
-      saved ? Save("batches", record, entry->m_mod_revision) : saved;
-  if (!done) {
-    LogError(Severity::kError, LogPart::kBatch, "Cannot finish a job.",
-             done.error());
   }
+  return Show(std::move(job->m_job));
 }
 
-std::string BatchService::RunItem(std::string_view line) {
-  const Result<BatchItem> item = ParseBatchItem(line);
-  if (!item) {
-    return ErrorLine("", item.error());
-  }
-  std::vector<std::string> avoid;
-  Error last{ResultCode::kNoUpstream, "no upstream could serve the item"};
-  while (avoid.size() < kMaxItemTries) {
-    const Result<PickedUpstream> upstream =
-        m_upstreams.Pick({item->m_model, "", avoid}, item->m_custom_id);
-    if (!upstream) {
+Result<json> BatchService::List(const HttpRequest& request,
+                                const Caller& caller) {
+  int64_t limit = kDefaultListLimit;
+  const std::string text = QueryValue(request, "limit");
+  if (!text.empty() &&
+      (!absl::SimpleAtoi(text, &limit) || limit < 1 || limit > kMaxListLimit)) {
+    return Fail(ResultCode::kInvalidArgument, "limit must lie in [1, 100]");
+  }
+  Result<std::vector<JobRecord>> jobs = m_store.ListJobs(caller.m_workspace);
+  if (!jobs) {
+    return tl::unexpected<Error>(jobs.error());
+  }
+  const std::string after = QueryValue(request, "after");
+  bool started = after.empty();
+  json data = json::array();
+  bool more = false;
+  for (const JobRecord& job : *jobs) {
+    if (started && static_cast<int64_t>(data.size()) == limit) {
+      more = true;
       break;
     }
-    HttpCall call;
-    call.m_method = item->m_method;
-    call.m_url = absl::StrCat(upstream->m_url, item->m_url);
-    call.m_headers = {{"Content-Type", "application/json"}};
-    call.m_body = item->m_body;
-    call.m_timeout = kItemTimeout;
-    const Result<HttpAnswer> answer = m_http.Call(call);
-    if (answer && answer->m_status < 500) {
-      return ResultLine(item->m_custom_id, *answer);
+    if (started) {
+      data.push_back(Show(job));
     }
-    last = answer ? Error{ResultCode::kUpstreamFailed, "the upstream failed",
-                          RunState::kUnknown}
-                  : answer.error();
-    avoid.push_back(upstream->m_name);
+    started = started || job.m_id == after;
+  }
+  return json{{"object", "list"}, {"data", data}, {"has_more", more}};
+}
+
+HttpReply BatchService::GetFile(const HttpRequest& request,
+                                const Caller& caller) {
+  const std::vector<std::string> parts = PathParts(request.m_path);
+  const std::optional<OutputFileId> file = ParseOutputFileId(parts[2]);
+  const bool content = parts.size() == 4 && parts[3] == "content";
+  if (request.m_method != "GET" || (parts.size() != 3 && !content)) {
+    return ErrorReply(
+        Fail(ResultCode::kMethodNotAllowed, "no such call").value());
+  }
+  const Result<StoredJob> job = LoadOwn(file->m_job, caller);
+  if (!job) {
+    return ErrorReply(job.error());
+  }
+  if (!content) {
+    return JsonReply(200, OutputFileObject(*file, job->m_job).dump());
   }
-  return ErrorLine(item->m_custom_id, last);
+  HttpReply reply;
+  reply.m_headers.push_back({"Content-Type", "application/jsonl"});
+  reply.m_reader = ReadOutputFile(m_ledgers, *file);
+  return reply;
 }
 
 }  // namespace bronzecross
--- a/packages/batch/batch_service.h
+++ b/packages/batch/batch_service.h
@@ -1,68 +1,109 @@
-// Files and batch jobs in the OpenAI form.
-//
-// A job's input and output lie in the store, so both are bounded by the size of
-// one value, and the accepting VM runs the job.
+// Batch jobs in the OpenAI form. A job is acknowledged once its record is in
+// the store; its input and results are ledgers, run by one owner and sent by
+// the dispatchers of the upstreams.
 
 #ifndef BRONZECROSS_BATCH_BATCH_SERVICE_H_
 #define BRONZECROSS_BATCH_BATCH_SERVICE_H_
 
-#include <atomic>
-#include <memory>
 #include <string>
 #include <string_view>
-#include <thread>
-#include <vector>
 
-#include <absl/synchronization/mutex.h>
 #include <nlohmann/json.hpp>
 
-#include "batch/batch_item.h"
+#include "batch/batch_options.h"
+#include "batch/dispatcher.h"
+#include "batch/job_owner.h"
+#include "batch/job_store.h"
+#include "batch/open_work.h"
+#include "batch/output_files.h"
+#include "batch/upstream_access.h"
 #include "config/config_holder.h"
 #include "http/http_client.h"
+#include "ledger/ledger.h"
+#include "membership/membership.h"
 #include "online/authenticator.h"
+#include "peers/peer_server.h"
 #include "store/kv_client.h"
-#include "upstreams/upstream_registry.h"
 
 namespace bronzecross {
 
+// What the service uses of the rest of the daemon.
+struct BatchParts {
+  ConfigHolder& m_config;
+  KvClient& m_store;
+  std::string m_prefix;
+  Membership& m_membership;
+  PeerServer& m_peer_server;
+  LedgerService& m_ledgers;
+  HttpClient& m_http;
+  UpstreamAccess m_upstreams;
+  // Finds an input file of a workspace; fails with kNotFound.
+  std::function<Result<InputFile>(const std::string& workspace,
+                                  const std::string& file_id)>
+      m_find_input;
+};
+
 class BatchService {
  public:
-  BatchService(ConfigHolder& config,
-               KvClient& store,
-               UpstreamRegistry& upstreams,
-               HttpClient& http,
-               std::string prefix);
+  // Registers its methods at the peer server, which must not run yet.
+  BatchService(BatchParts parts, BatchOptions options);
   ~BatchService();
 
-  // Everything under /v1/files and /v1/batches.
-  HttpReply Handle(const HttpRequest& request);
+  void Start();
+  // Returns what runs here; open jobs go on at other VMs.
   void Stop();
 
+  // Whether a path under /v1/files is an output or error file of a job.
+  static bool IsOutputFile(std::string_view path);
+
+  // Everything under /v1/batches, and the files for which IsOutputFile() holds.
+  HttpReply Handle(const HttpRequest& request);
+
+  // Called when an online request goes to an upstream whose slots are taken.
+  void TellOnlineAtBound(std::string_view upstream) {
+    m_dispatcher.TellOnlineAtBound(upstream);
+  }
+
  private:
+  using Method = Result<nlohmann::json> (
+      BatchService::*)(const nlohmann::json& message, Millis deadline);
+
+  void Register(std::string_view name, Method method);
+  Result<nlohmann::json> CallVm(const std::string& vm,
+                                const std::string& method,
+                                const nlohmann::json& message,
+                                Millis timeout);
+  Result<nlohmann::json> OnTake(const nlohmann::json& message, Millis deadline);
+  Result<nlohmann::json> OnDone(const nlohmann::json& message, Millis deadline);
+  Result<nlohmann::json> OnHeld(const nlohmann::json& message, Millis deadline);
+  Result<nlohmann::json> OnAdopt(const nlohmann::json& message,
+                                 Millis deadline);
+  Result<nlohmann::json> OnCancel(const nlohmann::json& message,
+                                  Millis deadline);
+  Result<nlohmann::json> OnYield(const nlohmann::json& message,
+                                 Millis deadline);
+
   Result<nlohmann::json> Dispatch(const HttpRequest& request,
                                   const Caller& caller);
-  Result<nlohmann::json> CreateFile(const HttpRequest& request,
-                                    const Caller& caller);
-  Result<nlohmann::json> CreateBatch(const HttpRequest& request,
-                                     const Caller& caller);
-  Result<nlohmann::json> CancelBatch(std::string_view id, const Caller& caller);
-  Result<KvEntry> Load(std::string_view kind,
-                       std::string_view id,
-                       const Caller& caller);
-  Status Save(std::string_view kind,
-              const nlohmann::json& record,
-              int64_t expected_revision);
-  void RunJob(const std::string& id, const Caller& caller);
-  std::string RunItem(std::string_view line);
+  Result<nlohmann::json> Create(const HttpRequest& request,
+                                const Caller& caller);
+  Result<nlohmann::json> Cancel(const std::string& id, const Caller& caller);
+  Result<nlohmann::json> List(const HttpRequest& request, const Caller& caller);
+  HttpReply GetFile(const HttpRequest& request, const Caller& caller);
+  Result<StoredJob> LoadOwn(const std::string& id, const Caller& caller);
+  // The batch object with what its owner announces.
+  nlohmann::json Show(JobRecord job) const;
 
   ConfigHolder& m_config;
-  KvClient& m_store;
-  UpstreamRegistry& m_upstreams;
-  HttpClient& m_http;
-  const std::string m_prefix;
-  std::atomic<bool> m_stopping = false;
-  absl::Mutex m_mutex;
-  std::vector<std::thread> m_runners ABSL_GUARDED_BY(m_mutex);
+  Membership& m_membership;
+  PeerServer& m_peer_server;
+  LedgerService& m_ledgers;
+  JobStore m_store;
+  OpenWork m_open_work;
+  JobContext m_context;
+  std::map<std::string, Method, std::less<>> m_methods;
+  JobOwner m_owner;
+  Dispatcher m_dispatcher;
 };
 
 }  // namespace bronzecross
--- /dev/null
+++ b/packages/batch/input_reader.cc
@@ -0,0 +1,52 @@
+#include "batch/input_reader.h"
+
+namespace bronzecross {
+namespace {
+
+void GiveLine(std::string_view line,
+              const std::function<void(std::string_view)>& take) {
+  if (line.find_first_not_of(" \t\r") != std::string_view::npos) {
+    take(line);
+  }
+}
+
+}  // namespace
+
+InputReader::InputReader(LedgerService& ledgers, InputFile file)
+    : m_ledgers(ledgers), m_file(std::move(file)), m_next(m_file.m_first) {}
+
+Result<bool> InputReader::ReadLines(
+    size_t max_bytes,
+    const std::function<void(std::string_view)>& take) {
+  size_t bytes = 0;
+  std::string text;
+  uint64_t next = m_next;
+  const Status read =
+      m_ledgers.Read(m_file.m_ledger, m_next, [&](const LedgerRecord& record) {
+        text += record.m_payload;
+        bytes += record.m_payload.size();
+        next = record.m_sequence + 1;
+        return bytes < max_bytes;
+      });
+  if (!read) {
+    return tl::unexpected<Error>(read.error());
+  }
+  const bool more = next != m_next;
+  m_next = next;
+  m_rest += text;
+  std::string_view left = m_rest;
+  for (size_t end = left.find('\n'); end != std::string_view::npos;
+       end = left.find('\n')) {
+    GiveLine(left.substr(0, end), take);
+    left.remove_prefix(end + 1);
+  }
+  if (!more) {
+    GiveLine(left, take);
+    m_rest.clear();
+    return false;
+  }
+  m_rest = std::string(left);
+  return true;
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/packages/batch/job_record.h
@@ -0,0 +1,77 @@
+// The record of one job in the store.
+
+#ifndef BRONZECROSS_BATCH_JOB_RECORD_H_
+#define BRONZECROSS_BATCH_JOB_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+
+namespace bronzecross {
+
+enum class JobState {
+  kValidating,
+  kInProgress,
+  kFinalizing,
+  kCompleted,
+  kFailed,
+  kExpired,
+  kCancelling,
+  kCancelled,
+};
+
+// The OpenAI name of `state`.
+std::string_view JobStateName(JobState state);
+
+// Whether nothing more happens to a job in `state`.
+bool IsFinal(JobState state);
+
+struct JobCounts {
+  int64_t m_total = 0;
+  int64_t m_completed = 0;
+  int64_t m_failed = 0;
+};
+
+struct JobRecord {
+  std::string m_id;
+  std::string m_workspace;
+  std::string m_endpoint;
+  std::string m_input_file_id;
+  std::string m_completion_window;
+  nlohmann::json m_metadata;
+  JobState m_state = JobState::kValidating;
+  // The VM that runs the job, and which run of its daemon.
+  std::string m_owner;
+  int64_t m_owner_incarnation = 0;
+  // Rises with each change of owner.
+  int64_t m_epoch = 1;
+  // Wall times; zero: not yet.
+  Millis m_created;
+  Millis m_deadline;
+  Millis m_ended;
+  JobCounts m_counts;
+  std::string m_fault;
+};
+
+nlohmann::json JobToJson(const JobRecord& job);
+
+// Fails with kCorrupt on a missing field or a wrong type.
+Result<JobRecord> ParseJob(std::string_view text);
+
+// The batch object that callers see.
+nlohmann::json PublicBatch(const JobRecord& job);
+
+// The id of the ledger with the results of the job `id`.
+std::string OutputLedgerId(std::string_view job_id);
+
+// Parses "24h", "30m" or "90s". Fails with kInvalidArgument, also for less than
+// a second and more than 30 days.
+Result<Millis> ParseCompletionWindow(std::string_view text);
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_BATCH_JOB_RECORD_H_
