Serve batch jobs from ledgers with owners and dispatchers

Cause: jobs lived in store values and on the accepting VM. Change: the service, the daemon's wiring, settings [batch]. Conclusion: the whole-path batch test passes through the new path.

--- a/packages/batch/batch_service.cc
+++ b/packages/batch/batch_service.cc
@@ -37,11 +37,14 @@
       m_peer_server(parts.m_peer_server),
       m_ledgers(parts.m_ledgers),
       m_store(parts.m_store, parts.m_prefix),
+      m_files(parts.m_store, m_ledgers, parts.m_prefix),
       m_context{m_store,
                 m_ledgers,
                 m_config,
                 m_membership,
-                parts.m_find_input,
+                [this](const std::string& workspace, const std::string& id) {
+                  return m_files.Find(workspace, id);
+                },
                 [this](const std::string& vm,
                        const std::string& method,
                        const json& message,
@@ -171,19 +174,13 @@
   return json::object();
 }
 
-bool BatchService::IsOutputFile(std::string_view path) {
-  const std::vector<std::string> parts = PathParts(path);
-  return parts.size() >= 3 && parts[1] == "files" &&
-         ParseOutputFileId(parts[2]).has_value();
-}
-
 HttpReply BatchService::Handle(const HttpRequest& request) {
   const Result<Caller> caller = Authenticate(request, *m_config.Get());
   if (!caller) {
     return ErrorReply(caller.error());
   }
-  if (IsOutputFile(request.m_path)) {
-    return GetFile(request, *caller);
+  if (request.m_path.starts_with("/v1/files")) {
+    return HandleFile(request, *caller);
   }
   const Result<json> answer = Dispatch(request, *caller);
   if (!answer) {
@@ -362,25 +359,38 @@
   return json{{"object", "list"}, {"data", data}, {"has_more", more}};
 }
 
-HttpReply BatchService::GetFile(const HttpRequest& request,
-                                const Caller& caller) {
+HttpReply BatchService::HandleFile(const HttpRequest& request,
+                                   const Caller& caller) {
   const std::vector<std::string> parts = PathParts(request.m_path);
-  const std::optional<OutputFileId> file = ParseOutputFileId(parts[2]);
+  if (parts.size() == 2 && request.m_method == "POST") {
+    const Result<json> file =
+        m_files.Create(caller.m_workspace, request.m_file_name, request.m_body);
+    return file ? JsonReply(200, file->dump()) : ErrorReply(file.error());
+  }
   const bool content = parts.size() == 4 && parts[3] == "content";
   if (request.m_method != "GET" || (parts.size() != 3 && !content)) {
     return ErrorReply(
         Fail(ResultCode::kMethodNotAllowed, "no such call").value());
   }
-  const Result<StoredJob> job = LoadOwn(file->m_job, caller);
-  if (!job) {
-    return ErrorReply(job.error());
+  const std::optional<OutputFileId> output = ParseOutputFileId(parts[2]);
+  Result<json> file = json();
+  if (output) {
+    const Result<StoredJob> job = LoadOwn(output->m_job, caller);
+    file = job ? Result<json>(OutputFileObject(*output, job->m_job))
+               : Result<json>(tl::unexpected<Error>(job.error()));
+  } else {
+    file = m_files.Get(caller.m_workspace, parts[2]);
+  }
+  if (!file) {
+    return ErrorReply(file.error());
   }
   if (!content) {
-    return JsonReply(200, OutputFileObject(*file, job->m_job).dump());
+    return JsonReply(200, file->dump());
   }
   HttpReply reply;
   reply.m_headers.push_back({"Content-Type", "application/jsonl"});
-  reply.m_reader = ReadOutputFile(m_ledgers, *file);
+  reply.m_reader = output ? ReadOutputFile(m_ledgers, *output)
+                          : ReadInputFile(m_ledgers, parts[2]);
   return reply;
 }
 
--- a/packages/batch/batch_service.h
+++ b/packages/batch/batch_service.h
@@ -10,13 +10,14 @@
 
 #include <nlohmann/json.hpp>
 
-#include "batch/batch_options.h"
 #include "batch/dispatcher.h"
+#include "batch/file_store.h"
 #include "batch/job_owner.h"
 #include "batch/job_store.h"
 #include "batch/open_work.h"
 #include "batch/output_files.h"
 #include "batch/upstream_access.h"
+#include "config/batch_options.h"
 #include "config/config_holder.h"
 #include "http/http_client.h"
 #include "ledger/ledger.h"
@@ -37,10 +38,6 @@
   LedgerService& m_ledgers;
   HttpClient& m_http;
   UpstreamAccess m_upstreams;
-  // Finds an input file of a workspace; fails with kNotFound.
-  std::function<Result<InputFile>(const std::string& workspace,
-                                  const std::string& file_id)>
-      m_find_input;
 };
 
 class BatchService {
@@ -53,10 +50,7 @@
   // Returns what runs here; open jobs go on at other VMs.
   void Stop();
 
-  // Whether a path under /v1/files is an output or error file of a job.
-  static bool IsOutputFile(std::string_view path);
-
-  // Everything under /v1/batches, and the files for which IsOutputFile() holds.
+  // Everything under /v1/batches and /v1/files.
   HttpReply Handle(const HttpRequest& request);
 
   // Called when an online request goes to an upstream whose slots are taken.
@@ -89,7 +83,7 @@
                                 const Caller& caller);
   Result<nlohmann::json> Cancel(const std::string& id, const Caller& caller);
   Result<nlohmann::json> List(const HttpRequest& request, const Caller& caller);
-  HttpReply GetFile(const HttpRequest& request, const Caller& caller);
+  HttpReply HandleFile(const HttpRequest& request, const Caller& caller);
   Result<StoredJob> LoadOwn(const std::string& id, const Caller& caller);
   // The batch object with what its owner announces.
   nlohmann::json Show(JobRecord job) const;
@@ -99,6 +93,7 @@
   PeerServer& m_peer_server;
   LedgerService& m_ledgers;
   JobStore m_store;
+  FileStore m_files;
   OpenWork m_open_work;
   JobContext m_context;
   std::map<std::string, Method, std::less<>> m_methods;
--- a/packages/batch/dispatcher.h
+++ b/packages/batch/dispatcher.h
@@ -15,7 +15,6 @@
 
 #include <absl/synchronization/mutex.h>
 
-#include "batch/batch_options.h"
 #include "batch/item_threads.h"
 #include "batch/job_context.h"
 #include "batch/open_work.h"
@@ -23,6 +22,7 @@
 #include "batch/taken_item.h"
 #include "batch/upstream_access.h"
 #include "batch/upstream_room.h"
+#include "config/batch_options.h"
 
 namespace bronzecross {
 
--- a/packages/batch/output_files.cc
+++ b/packages/batch/output_files.cc
@@ -96,4 +96,25 @@
   };
 }
 
+BodyReader ReadInputFile(LedgerService& ledgers, const std::string& ledger) {
+  return [&ledgers, ledger, next = uint64_t{0}, pending = std::string()](
+             std::span<char> buffer) mutable -> Result<size_t> {
+    if (pending.empty()) {
+      const Status read =
+          ledgers.Read(ledger, next, [&](const LedgerRecord& record) {
+            next = record.m_sequence + 1;
+            pending += record.m_payload;
+            return pending.size() < kPageBytes;
+          });
+      if (!read) {
+        return tl::unexpected<Error>(read.error());
+      }
+    }
+    const size_t count = std::min(buffer.size(), pending.size());
+    std::copy_n(pending.begin(), count, buffer.begin());
+    pending.erase(0, count);
+    return count;
+  };
+}
+
 }  // namespace bronzecross
--- a/packages/batch/output_files.h
+++ b/packages/batch/output_files.h
@@ -30,6 +30,9 @@
 // GET /v1/files/<id>/content: gives the lines page by page; each item once.
 BodyReader ReadOutputFile(LedgerService& ledgers, const OutputFileId& file);
 
+// GET /v1/files/<id>/content of a file that a caller handed in.
+BodyReader ReadInputFile(LedgerService& ledgers, const std::string& ledger);
+
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_BATCH_OUTPUT_FILES_H_
--- a/packages/batch/batch_options.h
+++ b/packages/config/batch_options.h
@@ -1,7 +1,7 @@
 // Settings of the batch part.
 
-#ifndef BRONZECROSS_BATCH_BATCH_OPTIONS_H_
-#define BRONZECROSS_BATCH_BATCH_OPTIONS_H_
+#ifndef BRONZECROSS_CONFIG_BATCH_OPTIONS_H_
+#define BRONZECROSS_CONFIG_BATCH_OPTIONS_H_
 
 #include <cstdint>
 
@@ -23,4 +23,4 @@
 
 }  // namespace bronzecross
 
-#endif  // BRONZECROSS_BATCH_BATCH_OPTIONS_H_
+#endif  // BRONZECROSS_CONFIG_BATCH_OPTIONS_H_
--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -123,6 +123,18 @@
   receipts.Finish();
 }
 
+void ReadBatch(const toml::table& source, TomlFaults& faults, Settings& out) {
+  TomlTable table(source, faults);
+  BatchOptions& batch = out.m_batch;
+  batch.m_fill_target =
+      static_cast<double>(table.GetInt("fill_percent", 100, 1, 100)) / 100;
+  batch.m_reserve_slots = table.GetInt("reserve_slots", 1, 0, 1000);
+  batch.m_max_running = table.GetInt("max_running", 256, 1, 4096);
+  batch.m_item_timeout =
+      GetMillis(table, "item_timeout_ms", 300'000, 100, 86'400'000);
+  table.Finish();
+}
+
 void ReadTimes(TomlTable& root, TomlFaults& faults, Settings& out) {
   TomlTable online(root.GetTable("online"), faults);
   out.m_request_timeout =
@@ -153,6 +165,7 @@
     ReadVmList(root.GetTable("vm_list"), faults, settings);
     ReadHttp(root.GetTable("http"), faults, settings);
     ReadLog(root.GetTable("log"), faults, settings);
+    ReadBatch(root.GetTable("batch"), faults, settings);
     ReadTimes(root, faults, settings);
     ReadLedger(root, faults, settings);
     root.Finish();
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "base/net_address.h"
+#include "config/batch_options.h"
 
 namespace bronzecross {
 
@@ -68,6 +69,9 @@
   int64_t m_receipt_max_entries = 0;
   int64_t m_receipt_memory_bytes = 0;
 
+  // [batch]
+  BatchOptions m_batch;
+
   // [drain]
   Millis m_drain_notice;
   Millis m_drain_timeout;
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -78,7 +78,10 @@
                m_upstreams,
                m_http,
                settings.m_request_timeout),
-      m_batch(m_config, m_store, m_upstreams, m_http, settings.m_store_prefix),
+      m_batch(
+          {m_config, m_store, settings.m_store_prefix, m_membership,
+           m_peer_server, m_ledger, m_http, MakeUpstreamAccess(m_upstreams)},
+          settings.m_batch),
       m_config_follower(m_config,
                         m_store,
                         settings.m_store_prefix + "manifest"),
@@ -99,6 +102,7 @@
   m_membership.Start();
   m_ledger.Start();
   m_upstreams.Start();
+  m_batch.Start();
   const json record = {{"id", m_settings.m_vm_id},
                        {"zone", m_settings.m_availability_zone},
                        {"incarnation", m_membership.Self().m_incarnation},
