--- a/tests/harness/batch_caller.cc
+++ b/tests/harness/batch_caller.cc
@@ -1,5 +1,7 @@
 #include "harness/batch_caller.h"
 
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
@@ -72,6 +74,12 @@
   return lines + spec.m_extra;
 }
 
+bool EachOnce(const BatchResult& result, size_t items) {
+  return result.m_lines.size() == items &&
+         std::all_of(result.m_lines.begin(), result.m_lines.end(),
+                     [](const auto& line) { return line.second == 1; });
+}
+
 std::string BatchCaller::Upload(int vm, const BatchSpec& spec, Millis timeout) {
   const std::string input = BatchInput(spec);
   std::string id;
@@ -108,6 +116,13 @@
       "GET", m_cluster.Url(vm) + "/v1/batches/" + job, Cluster::Key(0));
 }
 
+int64_t BatchCaller::Ended(int vm, const std::string& job) {
+  const json batch = Get(vm, job);
+  return batch.is_object() && batch.contains("request_counts")
+             ? batch["request_counts"].value("completed", int64_t{0})
+             : 0;
+}
+
 std::string BatchCaller::StateOf(int vm, const std::string& job) {
   const json batch = Get(vm, job);
   return batch.is_object() ? batch.value("status", "") : "";
--- a/tests/harness/batch_caller.h
+++ b/tests/harness/batch_caller.h
@@ -40,6 +40,9 @@
   bool m_readable = false;
 };
 
+// Whether there is exactly one line for each of `items` custom_ids.
+bool EachOnce(const BatchResult& result, size_t items);
+
 class BatchCaller {
  public:
   explicit BatchCaller(Cluster& cluster) : m_cluster(cluster) {}
@@ -54,6 +57,8 @@
                         const std::string& window = "24h");
   // The batch object, or null.
   nlohmann::json Get(int vm, const std::string& job);
+  // Completed items so far; 0 if `vm` does not answer.
+  int64_t Ended(int vm, const std::string& job);
   std::string StateOf(int vm, const std::string& job);
   // Waits until the job has ended, asking any VM of `vms` that answers.
   std::string WaitEnded(const std::vector<int>& vms,
