--- a/tests/harness/batch_caller.cc
+++ b/tests/harness/batch_caller.cc
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr Millis kCallTimeout{10'000};
+constexpr Millis kLookInterval{200};
 
 std::string PromptOf(const BatchSpec& spec, int index) {
   return absl::StrCat(spec.m_name, " prompt ", index);
@@ -140,8 +141,11 @@
             break;
           }
         }
-        return state == "completed" || state == "failed" ||
-               state == "expired" || state == "cancelled";
+        const bool ended = state == "completed" || state == "failed" ||
+                           state == "expired" || state == "cancelled";
+        // Each look costs a call to the store, which measurements count.
+        SleepFor(ended ? Millis(0) : kLookInterval);
+        return ended;
       },
       timeout);
   return state;
