--- a/packages/batch/dispatcher.cc
+++ b/packages/batch/dispatcher.cc
@@ -330,10 +330,9 @@
     lane.m_draining = lane.m_draining && !alone;
     ++m_running_total;
     --room;
-    const std::shared_ptr<InFlight> in_flight =
-        std::make_shared<InFlight>(std::move(picked->m_in_flight));
-    m_runners.Submit([this, name = spec.m_name, url = picked->m_url, run,
-                      in_flight] { RunOne(name, url, run, in_flight); });
+    const std::shared_ptr<PickedUpstream> in_flight =
+        std::make_shared<PickedUpstream>(std::move(*picked));
+    m_runners.Submit([this, run, in_flight] { RunOne(run, in_flight); });
   }
 }
 
@@ -422,10 +421,9 @@
   }
 }
 
-void Dispatcher::RunOne(const std::string& upstream,
-                        const std::string& url,
-                        uint64_t run,
-                        std::shared_ptr<InFlight> in_flight) {
+void Dispatcher::RunOne(uint64_t run, std::shared_ptr<PickedUpstream> picked) {
+  const std::string upstream = picked->m_name;
+  const std::string url = picked->m_url;
   const TakenItem* item = nullptr;
   const CancelToken* cancel = nullptr;
   {
@@ -437,7 +435,8 @@
   }
   ItemRunResult result =
       RunItem(m_http, url, *item, *cancel, m_options.m_item_timeout);
-  in_flight.reset();
+  // From here on the item is not counted as in flight.
+  picked.reset();
   result.m_outcome.m_index = item->m_index;
   result.m_outcome.m_holder = m_holder;
   const std::string job = item->m_job;
--- a/packages/batch/dispatcher.h
+++ b/packages/batch/dispatcher.h
@@ -83,10 +83,7 @@
   void Take(const std::string& upstream,
             const AnnouncedJob& job,
             const nlohmann::json& request);
-  void RunOne(const std::string& upstream,
-              const std::string& url,
-              uint64_t run,
-              std::shared_ptr<InFlight> in_flight);
+  void RunOne(uint64_t run, std::shared_ptr<PickedUpstream> picked);
   void StopCancelledJobs(const std::vector<AnnouncedJob>& jobs);
   void ReturnUnsent(Lane& lane) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void SendYields();
--- a/packages/batch/upstream_access.cc
+++ b/packages/batch/upstream_access.cc
@@ -1,20 +1,20 @@
 #include "batch/upstream_access.h"
 
+#include <cmath>
+
 namespace bronzecross {
 
-UpstreamAccess MakeUpstreamAccess(UpstreamRegistry&) {
+UpstreamAccess MakeUpstreamAccess(UpstreamRegistry& registry) {
   UpstreamAccess access;
-  access.m_load = [](const UpstreamSpec& spec) {
-    BatchLoad load;
-    load.m_usable = spec.m_state == UpstreamState::kActive;
-    return load;
+  access.m_load = [&registry](const UpstreamSpec& spec) {
+    const UpstreamLoad load = registry.LoadOf(spec);
+    return BatchLoad{load.m_own_online, load.m_peers_online, load.m_peers_batch,
+                     static_cast<int64_t>(std::floor(load.m_other)),
+                     load.m_usable};
   };
-  access.m_pick = [](const UpstreamSpec& spec,
-                     std::string_view) -> Result<PickedUpstream> {
-    PickedUpstream picked;
-    picked.m_name = spec.m_name;
-    picked.m_url = spec.m_url;
-    return picked;
+  access.m_pick = [&registry](const UpstreamSpec& spec,
+                              std::string_view request_id) {
+    return registry.PickNamed(spec.m_name, Priority::kBatch, request_id);
   };
   return access;
 }
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -58,6 +58,16 @@
   return options;
 }
 
+OnlineOptions MakeOnlineOptions(const Settings& settings) {
+  OnlineOptions options;
+  options.m_request_timeout = settings.m_request_timeout;
+  options.m_max_queue = static_cast<size_t>(settings.m_max_queue);
+  options.m_throttle.m_wait_out = settings.m_wait_out_retry_after;
+  options.m_throttle.m_cache_refusals = settings.m_cache_refusals;
+  options.m_throttle.m_count_every_5xx = settings.m_count_every_5xx;
+  return options;
+}
+
 }  // namespace
 
 Daemon::Daemon(const Settings& settings)
@@ -73,11 +83,13 @@
                m_peer_server),
       m_limiter(m_membership),
       m_upstreams(m_config, m_membership, m_http, settings.m_halves),
+      m_crashes(m_membership, m_http),
       m_online(m_config,
                m_limiter,
                m_upstreams,
+               m_crashes,
                m_http,
-               settings.m_request_timeout),
+               MakeOnlineOptions(settings)),
       m_batch(
           {m_config, m_store, settings.m_store_prefix, m_membership,
            m_peer_server, m_ledger, m_http, MakeUpstreamAccess(m_upstreams)},
@@ -89,7 +101,10 @@
                       MakeCallerHandlers(m_settings, m_online, m_batch)),
       m_admin_server(MakeAdminOptions(settings),
                      MakeAdminHandlers({[this] { return IsReady(); },
-                                        [this] { return MakeStatus(); }})) {}
+                                        [this] { return MakeStatus(); }})) {
+  m_upstreams.SetOnlineAtBound(
+      [this](std::string_view name) { m_batch.TellOnlineAtBound(name); });
+}
 
 Status Daemon::Start() {
   for (const Status& started : {m_peer_server.Start(), m_caller_server.Start(),
