--- a/packages/online/completion_stream.cc
+++ b/packages/online/completion_stream.cc
@@ -15,14 +15,10 @@
 
 }  // namespace
 
-CompletionStream::CompletionStream(ConfigHolder& config,
-                                   Caller caller,
-                                   nlohmann::json request,
+CompletionStream::CompletionStream(nlohmann::json request,
                                    Attempts attempts,
                                    Attempt attempt)
-    : m_config(config),
-      m_caller(std::move(caller)),
-      m_request(std::move(request)),
+    : m_request(std::move(request)),
       m_attempts(std::move(attempts)),
       m_attempt(std::move(attempt)) {}
 
@@ -44,10 +40,9 @@
 
 void CompletionStream::Step() {
   const Result<std::string> piece = m_attempt.m_stream->ReadSome();
-  if (!IsKeyInForce(m_caller, *m_config.Get())) {
-    EndWithError(
-        FailMayHaveRun(ResultCode::kInvalidKey, "the key was withdrawn")
-            .value());
+  if (IsKeyWithdrawn()) {
+    EndWithError(m_attempts.Plan().m_guard->Explain(
+        Error{ResultCode::kCancelled, "", RunState::kUnknown}));
     return;
   }
   Status taken;
@@ -67,6 +62,12 @@
   }
 }
 
+// True as well when this VM can't confirm that the key is in force.
+bool CompletionStream::IsKeyWithdrawn() {
+  const std::shared_ptr<GuardedCall>& guard = m_attempts.Plan().m_guard;
+  return guard != nullptr && guard->m_cancel.IsCancelled();
+}
+
 Status CompletionStream::TakePiece(std::string_view piece) {
   if (!m_splitter.Add(piece)) {
     return FailMayHaveRun(ResultCode::kStreamCut,
--- a/packages/online/completion_stream.h
+++ b/packages/online/completion_stream.h
@@ -8,9 +8,7 @@
 #include <span>
 #include <string>
 
-#include "config/config_holder.h"
 #include "online/attempts.h"
-#include "online/authenticator.h"
 #include "online/completion_progress.h"
 #include "online/sse_splitter.h"
 
@@ -20,11 +18,7 @@
 class CompletionStream {
  public:
   // `attempt` is an answer of status 200 that has begun.
-  CompletionStream(ConfigHolder& config,
-                   Caller caller,
-                   nlohmann::json request,
-                   Attempts attempts,
-                   Attempt attempt);
+  CompletionStream(nlohmann::json request, Attempts attempts, Attempt attempt);
 
   // A BodyReader.
   Result<size_t> Read(std::span<char> buffer);
@@ -39,12 +33,11 @@
   void Step();
   Status TakePiece(std::string_view piece);
   void TakeBreak(const Error& error);
+  bool IsKeyWithdrawn();
   // Continues on another upstream. Returns whether it goes on.
   bool Resume();
   void EndWithError(const Error& error);
 
-  ConfigHolder& m_config;
-  const Caller m_caller;
   const nlohmann::json m_request;
   Attempts m_attempts;
   Attempt m_attempt;
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -90,9 +90,11 @@
                              UpstreamRegistry& upstreams,
                              CrashGuard& crashes,
                              HttpClient& http,
+                             KeyGuard& keys,
                              const OnlineOptions& options)
     : m_config(config),
       m_limiter(limiter),
+      m_keys(keys),
       m_shared(upstreams, http, crashes, options) {}
 
 Result<Caller> OnlineService::AdmitCaller(const HttpRequest& request,
@@ -156,8 +158,8 @@
   plan.m_model = (*body)["model"];
   plan.m_prefixes = PrefixHashes(PromptText(*body));
   plan.m_fingerprint = RequestFingerprint(caller->m_workspace, *body);
-  return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body),
-                                             std::move(*caller))
+  plan.m_guard = m_keys.Watch(std::move(*caller));
+  return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body))
                             : CompletePlain(std::move(plan));
 }
 
@@ -166,9 +168,7 @@
   return answer ? PassAnswer(std::move(*answer)) : ErrorReply(answer.error());
 }
 
-HttpReply OnlineService::CompleteStream(AttemptPlan plan,
-                                        json body,
-                                        Caller caller) {
+HttpReply OnlineService::CompleteStream(AttemptPlan plan, json body) {
   Attempts attempts(m_shared, std::move(plan));
   Result<Attempt> attempt = attempts.Open();
   if (!attempt) {
@@ -186,8 +186,7 @@
     return reply;
   }
   const std::shared_ptr<CompletionStream> stream =
-      std::make_shared<CompletionStream>(m_config, std::move(caller),
-                                         std::move(body), std::move(attempts),
+      std::make_shared<CompletionStream>(std::move(body), std::move(attempts),
                                          std::move(*attempt));
   reply.m_reader = [stream](std::span<char> buffer) {
     return stream->Read(buffer);
@@ -214,11 +213,12 @@
     return ErrorReply(deadline.error());
   }
   if (!route->m_open) {
-    const Result<Caller> caller = AdmitCaller(request, *config);
+    Result<Caller> caller = AdmitCaller(request, *config);
     if (!caller) {
       return ErrorReply(caller.error());
     }
     plan.m_workspace = caller->m_workspace;
+    plan.m_guard = m_keys.Watch(std::move(*caller));
   }
   plan.m_id = RandomId();
   plan.m_service = route->m_service;
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -25,6 +25,7 @@
                 UpstreamRegistry& upstreams,
                 CrashGuard& crashes,
                 HttpClient& http,
+                KeyGuard& keys,
                 const OnlineOptions& options);
 
   // POST /v1/chat/completions and /v1/completions.
@@ -39,12 +40,11 @@
   Result<Caller> AdmitCaller(const HttpRequest& request,
                              const ConfigSnapshot& config);
   HttpReply CompletePlain(AttemptPlan plan);
-  HttpReply CompleteStream(AttemptPlan plan,
-                           nlohmann::json body,
-                           Caller caller);
+  HttpReply CompleteStream(AttemptPlan plan, nlohmann::json body);
 
   ConfigHolder& m_config;
   Limiter& m_limiter;
+  KeyGuard& m_keys;
   AttemptShared m_shared;
 };
 
