--- a/packages/batch/batch_service.cc
+++ b/packages/batch/batch_service.cc
@@ -29,6 +29,16 @@
   return found == request.m_query.end() ? "" : found->second;
 }
 
+Result<InputFile> FindInput(FileService& files,
+                            const std::string& workspace,
+                            const std::string& id) {
+  const Result<FileRecord> file = files.Find(id, workspace);
+  if (!file) {
+    return tl::unexpected<Error>(file.error());
+  }
+  return InputFile{file->m_ledger, 0};
+}
+
 }  // namespace
 
 BatchService::BatchService(BatchParts parts, BatchOptions options)
@@ -36,14 +46,14 @@
       m_membership(parts.m_membership),
       m_peer_server(parts.m_peer_server),
       m_ledgers(parts.m_ledgers),
+      m_files(parts.m_files),
       m_store(parts.m_store, parts.m_prefix),
-      m_files(parts.m_store, m_ledgers, parts.m_prefix),
       m_context{m_store,
                 m_ledgers,
                 m_config,
                 m_membership,
                 [this](const std::string& workspace, const std::string& id) {
-                  return m_files.Find(workspace, id);
+                  return FindInput(m_files, workspace, id);
                 },
                 [this](const std::string& vm,
                        const std::string& method,
@@ -174,13 +184,17 @@
   return json::object();
 }
 
-HttpReply BatchService::Handle(const HttpRequest& request) {
+HttpReply BatchService::Handle(const HttpRequest& request, const Status& body) {
   const Result<Caller> caller = Authenticate(request, *m_config.Get());
   if (!caller) {
     return ErrorReply(caller.error());
   }
   if (request.m_path.starts_with("/v1/files")) {
-    return HandleFile(request, *caller);
+    const std::vector<std::string> parts = PathParts(request.m_path);
+    const std::optional<OutputFileId> output =
+        parts.size() >= 3 ? ParseOutputFileId(parts[2]) : std::nullopt;
+    return output ? GetOutputFile(request, *output, *caller)
+                  : m_files.Handle(request, caller->m_workspace, body);
   }
   const Result<json> answer = Dispatch(request, *caller);
   if (!answer) {
@@ -359,38 +373,25 @@
   return json{{"object", "list"}, {"data", data}, {"has_more", more}};
 }
 
-HttpReply BatchService::HandleFile(const HttpRequest& request,
-                                   const Caller& caller) {
+HttpReply BatchService::GetOutputFile(const HttpRequest& request,
+                                      const OutputFileId& file,
+                                      const Caller& caller) {
   const std::vector<std::string> parts = PathParts(request.m_path);
-  if (parts.size() == 2 && request.m_method == "POST") {
-    const Result<json> file =
-        m_files.Create(caller.m_workspace, request.m_file_name, request.m_body);
-    return file ? JsonReply(200, file->dump()) : ErrorReply(file.error());
-  }
   const bool content = parts.size() == 4 && parts[3] == "content";
   if (request.m_method != "GET" || (parts.size() != 3 && !content)) {
     return ErrorReply(
         Fail(ResultCode::kMethodNotAllowed, "no such call").value());
   }
-  const std::optional<OutputFileId> output = ParseOutputFileId(parts[2]);
-  Result<json> file = json();
-  if (output) {
-    const Result<StoredJob> job = LoadOwn(output->m_job, caller);
-    file = job ? Result<json>(OutputFileObject(*output, job->m_job))
-               : Result<json>(tl::unexpected<Error>(job.error()));
-  } else {
-    file = m_files.Get(caller.m_workspace, parts[2]);
-  }
-  if (!file) {
-    return ErrorReply(file.error());
+  const Result<StoredJob> job = LoadOwn(file.m_job, caller);
+  if (!job) {
+    return ErrorReply(job.error());
   }
   if (!content) {
-    return JsonReply(200, file->dump());
+    return JsonReply(200, OutputFileObject(file, job->m_job).dump());
   }
   HttpReply reply;
   reply.m_headers.push_back({"Content-Type", "application/jsonl"});
-  reply.m_reader = output ? ReadOutputFile(m_ledgers, *output)
-                          : ReadInputFile(m_ledgers, parts[2]);
+  reply.m_reader = ReadOutputFile(m_ledgers, file);
   return reply;
 }
 
--- a/packages/batch/batch_service.h
+++ b/packages/batch/batch_service.h
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "batch/dispatcher.h"
-#include "batch/file_store.h"
+#include "batch/file_service.h"
 #include "batch/job_owner.h"
 #include "batch/job_store.h"
 #include "batch/open_work.h"
@@ -36,6 +36,7 @@
   Membership& m_membership;
   PeerServer& m_peer_server;
   LedgerService& m_ledgers;
+  FileService& m_files;
   HttpClient& m_http;
   UpstreamAccess m_upstreams;
 };
@@ -50,8 +51,13 @@
   // Returns what runs here; open jobs go on at other VMs.
   void Stop();
 
-  // Everything under /v1/batches and /v1/files.
-  HttpReply Handle(const HttpRequest& request);
+  // What to do with the body of POST /v1/files.
+  BodyPlan PlanUpload(HttpRequest& request) {
+    return m_files.PlanUpload(request);
+  }
+  // Everything under /v1/files and /v1/batches. `body` is the outcome of
+  // streaming the request's body.
+  HttpReply Handle(const HttpRequest& request, const Status& body);
 
   // Called when an online request goes to an upstream whose slots are taken.
   void TellOnlineAtBound(std::string_view upstream) {
@@ -83,7 +89,10 @@
                                 const Caller& caller);
   Result<nlohmann::json> Cancel(const std::string& id, const Caller& caller);
   Result<nlohmann::json> List(const HttpRequest& request, const Caller& caller);
-  HttpReply HandleFile(const HttpRequest& request, const Caller& caller);
+  // A path under /v1/files/<output or error file>.
+  HttpReply GetOutputFile(const HttpRequest& request,
+                          const OutputFileId& file,
+                          const Caller& caller);
   Result<StoredJob> LoadOwn(const std::string& id, const Caller& caller);
   // The batch object with what its owner announces.
   nlohmann::json Show(JobRecord job) const;
@@ -92,8 +101,8 @@
   Membership& m_membership;
   PeerServer& m_peer_server;
   LedgerService& m_ledgers;
+  FileService& m_files;
   JobStore m_store;
-  FileStore m_files;
   OpenWork m_open_work;
   JobContext m_context;
   std::map<std::string, Method, std::less<>> m_methods;
--- a/packages/batch/dispatcher.cc
+++ b/packages/batch/dispatcher.cc
@@ -24,8 +24,6 @@
 constexpr Millis kPauseAfterFailure{500};
 // A job without items is not asked again before then.
 constexpr Millis kEmptyPause{50};
-// What upstream.yield told holds until heartbeats have carried the counts.
-constexpr Millis kYieldLife{300};
 constexpr Millis kYieldTimeout{500};
 // More unacknowledged results than this stop the taking of further items.
 constexpr size_t kMaxUnacknowledged = 2000;
@@ -64,8 +62,6 @@
   bool m_alone = false;
   Millis m_paused_until;
   std::map<std::string, Millis> m_empty_until;
-  // What upstream.yield told: online requests by VM, and when.
-  std::map<std::string, std::pair<int64_t, Millis>> m_yields;
 };
 
 Dispatcher::Dispatcher(JobContext& context,
@@ -210,19 +206,6 @@
   return indexes;
 }
 
-BatchLoad Dispatcher::LoadOf(const UpstreamSpec& spec, Lane& lane, Millis now) {
-  BatchLoad load = m_access.m_load(spec);
-  int64_t told = 0;
-  std::erase_if(lane.m_yields, [&](const auto& entry) {
-    return now - entry.second.second > kYieldLife;
-  });
-  for (const auto& [from, entry] : lane.m_yields) {
-    told += entry.first;
-  }
-  load.m_peers_online = std::max(load.m_peers_online, told);
-  return load;
-}
-
 int64_t Dispatcher::RoomOf(const UpstreamSpec& spec,
                            const BatchLoad& load,
                            Lane& lane) {
@@ -249,7 +232,7 @@
   if (lane == nullptr) {
     lane = std::make_unique<Lane>();
   }
-  const BatchLoad load = LoadOf(spec, *lane, now);
+  const BatchLoad load = m_access.m_load(spec);
   const int64_t room = RoomOf(spec, load, *lane);
   if (room < 0) {
     CancelExcess(spec.m_name, *lane, -room);
@@ -464,12 +447,11 @@
   if (spec == nullptr || found == m_lanes.end()) {
     return;
   }
-  const Millis now = MonotonicNow();
   Lane& lane = *found->second;
   if (from != m_context.m_membership.Self().m_id) {
-    lane.m_yields[from] = {online, now};
+    m_access.m_note_online(upstream, from, online);
   }
-  const int64_t room = RoomOf(*spec, LoadOf(*spec, lane, now), lane);
+  const int64_t room = RoomOf(*spec, m_access.m_load(*spec), lane);
   if (room < 0) {
     CancelExcess(upstream, lane, -room);
   }
--- a/packages/batch/dispatcher.h
+++ b/packages/batch/dispatcher.h
@@ -67,8 +67,6 @@
 
   void Run();
   void Manage(const UpstreamSpec& spec, const std::vector<AnnouncedJob>& jobs);
-  BatchLoad LoadOf(const UpstreamSpec& spec, Lane& lane, Millis now)
-      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   int64_t RoomOf(const UpstreamSpec& spec, const BatchLoad& load, Lane& lane)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void CancelExcess(const std::string& name, Lane& lane, int64_t excess)
--- a/packages/batch/upstream_access.h
+++ b/packages/batch/upstream_access.h
@@ -26,6 +26,11 @@
   std::function<Result<PickedUpstream>(const UpstreamSpec&,
                                        std::string_view request_id)>
       m_pick;
+  // Notes what the VM `from` told of its online requests on an upstream.
+  std::function<void(const std::string& upstream,
+                     const std::string& from,
+                     int64_t online)>
+      m_note_online;
 };
 
 UpstreamAccess MakeUpstreamAccess(UpstreamRegistry& registry);
--- a/packages/upstreams/upstream_registry.cc
+++ b/packages/upstreams/upstream_registry.cc
@@ -296,7 +296,7 @@
        {"service_ms", view.m_service_ms},
        {"prefix", view.m_prefix_match}});
   if (need.m_priority == Priority::kOnline && m_online_at_bound &&
-      picked.m_load >= static_cast<double>(picked.m_slots)) {
+      picked.m_load + 1 >= static_cast<double>(picked.m_slots)) {
     m_online_at_bound(picked.m_name);
   }
   return picked;
@@ -504,6 +504,15 @@
   return load;
 }
 
+void UpstreamRegistry::NotePeerOnline(std::string_view name,
+                                      std::string_view from,
+                                      int64_t online) {
+  absl::MutexLock lock(&m_mutex);
+  PeerRecord& peer = FindOrAdd(name).m_peers[std::string(from)];
+  peer.m_told_at = MonotonicNow();
+  peer.m_online = online;
+}
+
 UpstreamLoad UpstreamRegistry::MakeLoad(const UpstreamSpec& spec,
                                         std::span<const std::string> leaving,
                                         Millis now) {
--- a/packages/upstreams/upstream_registry.h
+++ b/packages/upstreams/upstream_registry.h
@@ -85,8 +85,14 @@
   // include it.
   UpstreamLoad LoadOf(const UpstreamSpec& spec);
 
-  // Called on the requesting thread when an online request goes to an upstream
-  // whose slots are all taken, batch included. Set before Start().
+  // The VM `from` has `online` online requests on the upstream, as it told
+  // ahead of its next heartbeat.
+  void NotePeerOnline(std::string_view name,
+                      std::string_view from,
+                      int64_t online);
+
+  // Called on the requesting thread when an online request takes the last slot
+  // of an upstream or finds none, batch included. Set before Start().
   void SetOnlineAtBound(std::function<void(std::string_view name)> callback) {
     m_online_at_bound = std::move(callback);
   }
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -57,6 +57,7 @@
   KeyGuard m_key_guard;
   CrashGuard m_crashes;
   OnlineService m_online;
+  FileService m_files;
   BatchService m_batch;
   ConfigDistributor m_distributor;
   // Made in Start(), as its record holds the bound addresses.
