--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -78,6 +78,14 @@
   // [batch]
   BatchOptions m_batch;
 
+  // [limits]
+  // Whether each VM admits a static share instead of borrowing from others.
+  bool m_limits_static = false;
+  // Slots of a new slot table; VMs beyond this number only borrow.
+  int64_t m_limit_slots = 0;
+  // How long a request waits for borrowed tokens.
+  Millis m_borrow_wait;
+
   // [drain]
   Millis m_drain_notice;
   Millis m_drain_timeout;
--- a/packages/online/online_service.cc
+++ b/packages/online/online_service.cc
@@ -78,11 +78,35 @@
   return {};
 }
 
+// Fills in what the body says of the upstreams that suit it.
+void DescribeCompletion(AttemptPlan& plan, const json& body) {
+  plan.m_id = RandomId();
+  plan.m_model = body["model"];
+  plan.m_prefixes = PrefixHashes(PromptText(body));
+  plan.m_fingerprint = RequestFingerprint(plan.m_workspace, body);
+}
+
+void DescribeServiceCall(AttemptPlan& plan, const RouteSpec& route) {
+  plan.m_id = RandomId();
+  plan.m_service = route.m_service;
+  plan.m_idempotent = route.m_idempotent;
+}
+
+bool IsCompletionPath(std::string_view path) {
+  return path == "/v1/chat/completions" || path == "/v1/completions";
+}
+
 bool WantsStream(const json& body) {
   return body.contains("stream") && body["stream"].is_boolean() &&
          body["stream"];
 }
 
+// Whether `reply` is a refusal of a request that did not run.
+bool IsNotRun(const HttpReply& reply) {
+  return FindHeader(reply.m_headers, kRunHeader) ==
+         RunStateName(RunState::kNotRun);
+}
+
 }  // namespace
 
 OnlineService::OnlineService(ConfigHolder& config,
@@ -97,21 +121,22 @@
       m_keys(keys),
       m_shared(upstreams, http, crashes, options) {}
 
-Result<Caller> OnlineService::AdmitCaller(const HttpRequest& request,
-                                          const ConfigSnapshot& config) {
+Result<OnlineService::Admitted> OnlineService::AdmitCaller(
+    const HttpRequest& request,
+    const ConfigSnapshot& config) {
   Result<Caller> caller = Authenticate(request, config);
   if (!caller) {
-    return caller;
+    return tl::unexpected<Error>(caller.error());
   }
   const WorkspaceSpec* workspace = config.FindWorkspace(caller->m_workspace);
   if (workspace == nullptr) {
     return Fail(ResultCode::kInvalidKey, "the key's workspace does not exist");
   }
-  const Status admitted = m_limiter.Admit(*workspace);
-  if (!admitted) {
-    return tl::unexpected<Error>(admitted.error());
+  Result<Admission> admission = m_limiter.Admit(*workspace);
+  if (!admission) {
+    return tl::unexpected<Error>(admission.error());
   }
-  return caller;
+  return Admitted{std::move(*caller), std::move(*admission)};
 }
 
 HttpReply OnlineService::ListModels(const HttpRequest& request) {
@@ -132,11 +157,23 @@
 
 HttpReply OnlineService::Complete(const HttpRequest& request) {
   const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
-  const Result<Caller> key = Authenticate(request, *config);
-  if (!key) {
-    return ErrorReply(key.error());
+  // Before the body is parsed, so that refusals over the limit are cheap.
+  Result<Admitted> admitted = AdmitCaller(request, *config);
+  if (!admitted) {
+    return ErrorReply(admitted.error());
   }
-  Result<json> body = ParseCompletion(request, *config);
+  HttpReply reply =
+      CompleteAdmitted(request, *config, std::move(admitted->m_caller));
+  if (IsNotRun(reply)) {
+    admitted->m_admission.GiveBack();
+  }
+  return reply;
+}
+
+HttpReply OnlineService::CompleteAdmitted(const HttpRequest& request,
+                                          const ConfigSnapshot& config,
+                                          Caller caller) {
+  Result<json> body = ParseCompletion(request, config);
   if (!body) {
     return ErrorReply(body.error());
   }
@@ -147,18 +184,66 @@
   if (!deadline) {
     return ErrorReply(deadline.error());
   }
-  Result<Caller> caller = AdmitCaller(request, *config);
-  if (!caller) {
-    return ErrorReply(caller.error());
-  }
   CountMetric("bronzecross_online_requests_total",
-              {{"workspace", caller->m_workspace}});
-  plan.m_id = RandomId();
-  plan.m_workspace = caller->m_workspace;
-  plan.m_model = (*body)["model"];
-  plan.m_prefixes = PrefixHashes(PromptText(*body));
-  plan.m_fingerprint = RequestFingerprint(caller->m_workspace, *body);
-  plan.m_guard = m_keys.Watch(std::move(*caller));
+              {{"workspace", caller.m_workspace}});
+  plan.m_workspace = caller.m_workspace;
+  DescribeCompletion(plan, *body);
+  plan.m_guard = m_keys.Watch(std::move(caller));
+  return RunAdmitted(std::move(plan), [&](AttemptPlan admitted_plan) {
+    return WantsStream(*body)
+               ? CompleteStream(std::move(admitted_plan), std::move(*body))
+               : CompletePlain(std::move(admitted_plan));
+  });
+}
+
+void OnlineService::UseReceipts(ReceiptService& receipts) {
+  m_receipts = &receipts;
+  receipts.SetExecutor(
+      [this](const std::string& workspace, const HttpRequest& request) {
+        return SendForReceipt(workspace, request);
+      });
+}
+
+HttpReply OnlineService::RunAdmitted(
+    AttemptPlan plan,
+    const std::function<HttpReply(AttemptPlan)>& send) {
+  const std::string_view key =
+      FindHeader(plan.m_request->m_headers, "Idempotency-Key");
+  if (m_receipts == nullptr || key.empty() || plan.m_workspace.empty()) {
+    return send(std::move(plan));
+  }
+  return m_receipts->Run(plan.m_workspace, key, plan.m_idempotent,
+                         *plan.m_request, plan.m_deadline - MonotonicNow());
+}
+
+HttpReply OnlineService::SendForReceipt(const std::string& workspace,
+                                        const HttpRequest& request) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  AttemptPlan plan;
+  plan.m_request = &request;
+  plan.m_workspace = workspace;
+  if (!IsCompletionPath(request.m_path)) {
+    const RouteSpec* route = config->FindRoute(request.m_path);
+    if (route == nullptr) {
+      return Refuse(ResultCode::kUnknownRoute, "the route was withdrawn");
+    }
+    const Status deadline = SetDeadline(plan, Millis(route->m_timeout_ms));
+    if (!deadline) {
+      return ErrorReply(deadline.error());
+    }
+    DescribeServiceCall(plan, *route);
+    return CompletePlain(std::move(plan));
+  }
+  Result<json> body = ParseCompletion(request, *config);
+  if (!body) {
+    return ErrorReply(body.error());
+  }
+  const Status deadline =
+      SetDeadline(plan, m_shared.Options().m_request_timeout);
+  if (!deadline) {
+    return ErrorReply(deadline.error());
+  }
+  DescribeCompletion(plan, *body);
   return WantsStream(*body) ? CompleteStream(std::move(plan), std::move(*body))
                             : CompletePlain(std::move(plan));
 }
@@ -212,18 +297,24 @@
   if (!deadline) {
     return ErrorReply(deadline.error());
   }
-  if (!route->m_open) {
-    Result<Caller> caller = AdmitCaller(request, *config);
-    if (!caller) {
-      return ErrorReply(caller.error());
-    }
-    plan.m_workspace = caller->m_workspace;
-    plan.m_guard = m_keys.Watch(std::move(*caller));
+  DescribeServiceCall(plan, *route);
+  if (route->m_open) {
+    return CompletePlain(std::move(plan));
   }
-  plan.m_id = RandomId();
-  plan.m_service = route->m_service;
-  plan.m_idempotent = route->m_idempotent;
-  return CompletePlain(std::move(plan));
+  Result<Admitted> admitted = AdmitCaller(request, *config);
+  if (!admitted) {
+    return ErrorReply(admitted.error());
+  }
+  plan.m_workspace = admitted->m_caller.m_workspace;
+  plan.m_guard = m_keys.Watch(std::move(admitted->m_caller));
+  HttpReply reply =
+      RunAdmitted(std::move(plan), [this](AttemptPlan admitted_plan) {
+        return CompletePlain(std::move(admitted_plan));
+      });
+  if (IsNotRun(reply)) {
+    admitted->m_admission.GiveBack();
+  }
+  return reply;
 }
 
 }  // namespace bronzecross
--- a/packages/online/online_service.h
+++ b/packages/online/online_service.h
@@ -3,6 +3,7 @@
 #ifndef BRONZECROSS_ONLINE_ONLINE_SERVICE_H_
 #define BRONZECROSS_ONLINE_ONLINE_SERVICE_H_
 
+#include <functional>
 #include <string>
 
 #include <nlohmann/json_fwd.hpp>
@@ -13,6 +14,7 @@
 #include "limits/limiter.h"
 #include "online/attempts.h"
 #include "online/authenticator.h"
+#include "receipts/receipt_service.h"
 #include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
 
@@ -28,6 +30,10 @@
                 KeyGuard& keys,
                 const OnlineOptions& options);
 
+  // From now on requests with an Idempotency-Key go through `receipts`. Call
+  // before requests arrive.
+  void UseReceipts(ReceiptService& receipts);
+
   // POST /v1/chat/completions and /v1/completions.
   HttpReply Complete(const HttpRequest& request);
   // GET /v1/models.
@@ -36,9 +42,24 @@
   HttpReply CallService(const HttpRequest& request);
 
  private:
+  struct Admitted {
+    Caller m_caller;
+    Admission m_admission;
+  };
+
   // Finds the caller and takes one token of its workspace.
-  Result<Caller> AdmitCaller(const HttpRequest& request,
-                             const ConfigSnapshot& config);
+  Result<Admitted> AdmitCaller(const HttpRequest& request,
+                               const ConfigSnapshot& config);
+  HttpReply CompleteAdmitted(const HttpRequest& request,
+                             const ConfigSnapshot& config,
+                             Caller caller);
+  // Runs an admitted request: once over all VMs if it has an Idempotency-Key
+  // and a workspace, by `send` otherwise.
+  HttpReply RunAdmitted(AttemptPlan plan,
+                        const std::function<HttpReply(AttemptPlan)>& send);
+  // Sends a request that this or another VM admitted for `workspace`.
+  HttpReply SendForReceipt(const std::string& workspace,
+                           const HttpRequest& request);
   HttpReply CompletePlain(AttemptPlan plan);
   HttpReply CompleteStream(AttemptPlan plan, nlohmann::json body);
 
@@ -46,6 +67,7 @@
   Limiter& m_limiter;
   KeyGuard& m_keys;
   AttemptShared m_shared;
+  ReceiptService* m_receipts = nullptr;
 };
 
 }  // namespace bronzecross
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -21,6 +21,7 @@
 #include "online/online_service.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
+#include "receipts/receipt_service.h"
 #include "store/kv_client.h"
 #include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
@@ -42,9 +43,13 @@
   bool IsReady() const;
   bool IsQuiet() const;
   nlohmann::json MakeStatus() const;
+  // This VM's lease; id 0: none yet.
+  KvLease CurrentLease() const;
 
   const Settings m_settings;
   std::atomic<bool> m_draining = false;
+  // Points to m_vm_lease once that is made.
+  std::atomic<VmLease*> m_lease_view = nullptr;
   ConfigHolder m_config;
   HttpClient m_http;
   KvClient m_store;
@@ -52,6 +57,7 @@
   PeerClient m_peer_client;
   Membership m_membership;
   ReplicatedLedger m_ledger;
+  ReceiptService m_receipts;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   KeyGuard m_key_guard;
