--- a/packages/upstreams/upstream_registry.cc
+++ b/packages/upstreams/upstream_registry.cc
@@ -305,7 +305,7 @@
        {"service_ms", view.m_service_ms},
        {"prefix", view.m_prefix_match}});
   if (need.m_priority == Priority::kOnline && m_online_at_bound &&
-      picked.m_load >= static_cast<double>(picked.m_slots)) {
+      picked.m_load + 1 >= static_cast<double>(picked.m_slots)) {
     m_online_at_bound(picked.m_name);
   }
   return picked;
@@ -500,23 +500,47 @@
     if (!Serves(spec, need) || !IsOurs(spec)) {
       continue;
     }
-    const UpstreamRecord& record = FindOrAdd(spec.m_name);
-    const PeerTotals peers = SumPeers(record, now);
-    UpstreamLoad& load = loads.emplace_back();
-    load.m_name = spec.m_name;
-    load.m_slots = SlotsOf(spec);
-    load.m_own_online = record.m_counts->m_online;
-    load.m_own_batch = record.m_counts->m_batch;
-    load.m_peers_online = peers.m_online;
-    load.m_peers_batch = peers.m_batch;
-    load.m_other = OtherLoad(record.m_reported, now);
-    load.m_service_ms = SharedServiceTime(record).m_mean_ms;
-    load.m_usable = !IsDown(spec, record, leaving, now) &&
-                    record.m_quiet_until <= now && !IsReserved(record, now);
+    loads.push_back(MakeLoad(spec, leaving, now));
   }
   return loads;
 }
 
+UpstreamLoad UpstreamRegistry::LoadOf(const UpstreamSpec& spec) {
+  const std::vector<std::string> leaving = m_membership.LeavingUpstreams();
+  absl::MutexLock lock(&m_mutex);
+  UpstreamLoad load = MakeLoad(spec, leaving, MonotonicNow());
+  load.m_usable = load.m_usable && IsOurs(spec);
+  return load;
+}
+
+void UpstreamRegistry::NotePeerOnline(std::string_view name,
+                                      std::string_view from,
+                                      int64_t online) {
+  absl::MutexLock lock(&m_mutex);
+  PeerRecord& peer = FindOrAdd(name).m_peers[std::string(from)];
+  peer.m_told_at = MonotonicNow();
+  peer.m_online = online;
+}
+
+UpstreamLoad UpstreamRegistry::MakeLoad(const UpstreamSpec& spec,
+                                        std::span<const std::string> leaving,
+                                        Millis now) {
+  const UpstreamRecord& record = FindOrAdd(spec.m_name);
+  const PeerTotals peers = SumPeers(record, now);
+  UpstreamLoad load;
+  load.m_name = spec.m_name;
+  load.m_slots = SlotsOf(spec);
+  load.m_own_online = record.m_counts->m_online;
+  load.m_own_batch = record.m_counts->m_batch;
+  load.m_peers_online = peers.m_online;
+  load.m_peers_batch = peers.m_batch;
+  load.m_other = OtherLoad(record.m_reported, now);
+  load.m_service_ms = SharedServiceTime(record).m_mean_ms;
+  load.m_usable = !IsDown(spec, record, leaving, now) &&
+                  record.m_quiet_until <= now && !IsReserved(record, now);
+  return load;
+}
+
 void UpstreamRegistry::TakeReport(const std::string& name,
                                   const Result<LoadReport>& report,
                                   Millis sent) {
--- a/packages/upstreams/upstream_registry.h
+++ b/packages/upstreams/upstream_registry.h
@@ -81,8 +81,18 @@
   // order of the manifest.
   std::vector<UpstreamLoad> Loads(std::string_view model);
 
-  // Called on the requesting thread when an online request goes to an upstream
-  // whose slots are all taken, batch included. Set before Start().
+  // The load of `spec`, whose m_usable is false too if this VM's halves do not
+  // include it.
+  UpstreamLoad LoadOf(const UpstreamSpec& spec);
+
+  // The VM `from` has `online` online requests on the upstream, as it told
+  // ahead of its next heartbeat.
+  void NotePeerOnline(std::string_view name,
+                      std::string_view from,
+                      int64_t online);
+
+  // Called on the requesting thread when an online request takes the last slot
+  // of an upstream or finds none, batch included. Set before Start().
   void SetOnlineAtBound(std::function<void(std::string_view name)> callback) {
     m_online_at_bound = std::move(callback);
   }
@@ -103,6 +113,9 @@
   Candidates Collect(const UpstreamNeed& need,
                      const ConfigSnapshot& config,
                      Millis now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  UpstreamLoad MakeLoad(const UpstreamSpec& spec,
+                        std::span<const std::string> leaving,
+                        Millis now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   UpstreamView MakeView(const UpstreamSpec& spec,
                         const UpstreamRecord& record,
                         const UpstreamNeed& need,
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -137,12 +137,10 @@
               m_ledger,
               settings.m_store_prefix,
               settings.m_max_file_bytes),
-      m_batch(m_config,
-              m_store,
-              m_files,
-              m_upstreams,
-              m_http,
-              settings.m_store_prefix),
+      m_batch({m_config, m_store, settings.m_store_prefix, m_membership,
+               m_peer_server, m_ledger, m_files, m_http,
+               MakeUpstreamAccess(m_upstreams)},
+              settings.m_batch),
       m_distributor(m_config,
                     m_store,
                     m_membership,
@@ -156,7 +154,10 @@
                           [this] { return m_distributor.IsFresh(); })),
       m_admin_server(MakeAdminOptions(settings),
                      MakeAdminHandlers({[this] { return IsReady(); },
-                                        [this] { return MakeStatus(); }})) {}
+                                        [this] { return MakeStatus(); }})) {
+  m_upstreams.SetOnlineAtBound(
+      [this](std::string_view name) { m_batch.TellOnlineAtBound(name); });
+}
 
 Status Daemon::Start() {
   m_online.UseReceipts(m_receipts);
@@ -171,6 +172,7 @@
   m_ledger.Start();
   m_receipts.Start();
   m_upstreams.Start();
+  m_batch.Start();
   m_key_guard.Start();
   const json record = {{"id", m_settings.m_vm_id},
                        {"zone", m_settings.m_availability_zone},
