--- a/packages/limits/limiter.cc
+++ b/packages/limits/limiter.cc
@@ -15,6 +15,10 @@
 using nlohmann::json;
 
 constexpr Millis kTick{20};
+// A VM is ready so long after it got usable slots, when its buckets hold
+// something, or without slots, as one that only borrows, after the other time.
+constexpr Millis kFill{60};
+constexpr Millis kBorrowOnlyAfter{3000};
 constexpr Millis kWaitStep{2};
 // A token must be handed out so soon after the clock was read for it. A VM
 // paused in between could otherwise admit by an outdated right.
@@ -78,7 +82,7 @@
 }
 
 bool Limiter::IsReady() const {
-  return m_keeper == nullptr || m_keeper->HasTable();
+  return m_keeper == nullptr || m_ready;
 }
 
 json Limiter::Describe() const {
@@ -96,6 +100,7 @@
 void Limiter::Run() {
   while (true) {
     SyncPeers();
+    UpdateReady();
     std::vector<std::pair<std::string, int64_t>> refused;
     bool stopping = false;
     {
@@ -122,6 +127,21 @@
   }
 }
 
+void Limiter::UpdateReady() {
+  if (m_ready || m_keeper == nullptr) {
+    return;
+  }
+  const Millis now = MonotonicNow();
+  const SlotShare slots = m_keeper->Share();
+  if (slots.m_share <= 0 || now >= slots.m_usable_until) {
+    m_usable_since = Millis(0);
+  } else if (m_usable_since == Millis(0)) {
+    m_usable_since = now;
+  }
+  m_ready = (m_usable_since != Millis(0) && now - m_usable_since >= kFill) ||
+            (m_keeper->HasTable() && now - m_started >= kBorrowOnlyAfter);
+}
+
 void Limiter::SyncPeers() {
   if (m_keeper == nullptr) {
     return;
--- a/packages/limits/limiter.h
+++ b/packages/limits/limiter.h
@@ -4,6 +4,7 @@
 #ifndef BRONZECROSS_LIMITS_LIMITER_H_
 #define BRONZECROSS_LIMITS_LIMITER_H_
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,7 +44,8 @@
   // succeed. The limit is that of the manifest in force. Thread-safe.
   Result<Admission> Admit(const WorkspaceSpec& workspace);
 
-  // Whether a slot table is known.
+  // Whether this VM has had slots with tokens, or a table to borrow by. Before
+  // that it refuses requests that are within their workspace's limit.
   bool IsReady() const;
   nlohmann::json Describe() const;
 
@@ -70,6 +72,7 @@
 
   void Settle(const std::string& name, const TakenToken& token, bool ran);
   void Run();
+  void UpdateReady();
   void SyncPeers();
   void SyncConfig() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   SlotShare Share() const;
@@ -106,6 +109,9 @@
   Membership& m_membership;
   std::unique_ptr<SlotKeeper> m_keeper;  // null in static mode
   const Millis m_started = MonotonicNow();
+  std::atomic<bool> m_ready = false;
+  // Since when the slots are usable; zero: they are not. For UpdateReady().
+  Millis m_usable_since;
 
   mutable absl::Mutex m_mutex;
   absl::CondVar m_changed;
--- a/packages/limits/slot_keeper.cc
+++ b/packages/limits/slot_keeper.cc
@@ -60,7 +60,8 @@
       "slots", {[this] { return MakeSection(); },
                 [this](const std::string& from, const json& section) {
                   TakeSection(from, section);
-                }});
+                },
+                /*m_always=*/true});
   server.Register("limits.slots", PeerDispatch::kOnConnection,
                   [this](std::string_view, Millis) -> Result<std::string> {
                     absl::MutexLock lock(&m_mutex);
@@ -233,6 +234,12 @@
     if (settled && m_settled_since != Millis(0) &&
         now - m_settled_since >= kSettledBeforeTakeover) {
       lost = FindLost(m_table, peers, m_ended);
+      // Answers given just before the reports count for kContactWindow. A VM
+      // may answer another that it does not know, and then has not heard it.
+      std::erase_if(lost, [this, now](const SlotHolderId& id) {
+        const Millis since = m_lost_since.try_emplace(id, now).first->second;
+        return now - since < kSettledBeforeTakeover;
+      });
     }
     change =
         PlanTable(m_table, m_options.m_slots, m_self, leaving, peers, lost);
@@ -320,6 +327,7 @@
   m_table = table;
   m_revision = revision;
   m_reported.clear();
+  m_lost_since.clear();
   m_settled_since = Millis(0);
   if (table.m_version > m_withheld_version) {
     m_withheld = 0;
--- a/packages/limits/slot_keeper.h
+++ b/packages/limits/slot_keeper.h
@@ -106,6 +106,8 @@
   // Holders whose lease this VM saw ended in the store.
   std::vector<SlotHolderId> m_ended ABSL_GUARDED_BY(m_mutex);
   Millis m_ended_checked ABSL_GUARDED_BY(m_mutex);
+  // Since when a majority reports a holder silent under m_table.
+  std::map<SlotHolderId, Millis> m_lost_since ABSL_GUARDED_BY(m_mutex);
   std::map<SlotHolderId, Millis> m_heard ABSL_GUARDED_BY(m_mutex);
   std::map<std::string, PeerState> m_peers ABSL_GUARDED_BY(m_mutex);
   int64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -138,22 +138,42 @@
 }
 
 int64_t Cluster::Publish() {
+  const Result<int64_t> published = TryPublish();
+  if (!published) {
+    Abort(published.error().m_message);
+  }
+  return *published;
+}
+
+Result<int64_t> Cluster::TryPublish() {
   const Result<std::optional<KvEntry>> entry =
       m_kv_client.Get("/bronzecross/manifest");
   if (!entry) {
-    Abort(entry.error().m_message);
+    return tl::unexpected<Error>(entry.error());
   }
-  NumberSuccessor(m_published, m_manifest);
-  m_published = m_manifest;
-  json document = ManifestToJson(m_manifest);
+  Manifest next = m_manifest;
+  NumberSuccessor(m_published, next);
+  json document = ManifestToJson(next);
   document["writer"] = RandomId();
   const Result<int64_t> written =
       m_kv_client.Commit({{"/bronzecross/manifest", document.dump(),
                            *entry ? (*entry)->m_mod_revision : 0}});
   if (!written) {
-    Abort(written.error().m_message);
+    return tl::unexpected<Error>(written.error());
+  }
+  m_manifest = next;
+  m_published = next;
+  return next.m_generation;
+}
+
+void Cluster::AdoptPublished() {
+  const Result<Manifest> stored =
+      ParseManifestJson(m_kv.Get("/bronzecross/manifest"));
+  if (stored) {
+    m_manifest.m_generation = stored->m_generation;
+    m_manifest.m_halves_generation = stored->m_halves_generation;
+    m_published = m_manifest;
   }
-  return m_manifest.m_generation;
 }
 
 std::string Cluster::Url(int vm) const {
@@ -189,6 +209,12 @@
     std::filesystem::create_directories(DataFolder(vm));
     absl::StrAppend(&text, "data_dir = \"", DataFolder(vm), "\"\n");
   }
+  const size_t index = static_cast<size_t>(vm);
+  if (index < m_options.m_vm_halves.size() &&
+      !m_options.m_vm_halves[index].empty()) {
+    absl::StrAppend(&text, "halves = [\"", m_options.m_vm_halves[index],
+                    "\"]\n");
+  }
   absl::StrAppend(
       &text,
       "[listen]\nhttp = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n"
@@ -196,7 +222,8 @@
       m_folder, "/", VmId(vm), ".ports\"\n[store]\nendpoints = [\"",
       slot.m_store_proxy != nullptr ? slot.m_store_proxy->Url() : m_kv.Url(),
       "\"]\n[vm_list]\nurl = \"", m_vm_list.UrlFor(VmId(vm)),
-      "\"\npoll_ms = 200\n", m_options.m_settings, "\n");
+      "\"\npoll_ms = ", m_options.m_vm_list_poll_ms, "\n", m_options.m_settings,
+      "\n");
   return text;
 }
 
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -31,6 +31,9 @@
   // Stands a proxy before each VM's peer port for each viewer, and between each
   // VM and the store.
   bool m_proxies = false;
+  // The half that each VM serves; shorter than the VMs, or "": all.
+  std::vector<std::string> m_vm_halves;
+  int64_t m_vm_list_poll_ms = 200;
   // Further TOML for each VM's settings, for example "[log]\nlevel = ...".
   std::string m_settings;
   uint64_t m_seed = 1;
@@ -48,6 +51,7 @@
   int VmCount() const { return m_options.m_vms; }
   std::string Url(int vm) const;
   std::string AdminUrl(int vm) const;
+  int64_t PeerPort(int vm) const { return m_vms[vm]->m_peer; }
   static std::string VmId(int vm) { return "vm-" + std::to_string(vm); }
   // "key-<i>" is the key of workspace "ws-<i>".
   static std::string Key(int workspace) {
@@ -58,7 +62,9 @@
   VmListStandin& VmList() { return m_vm_list; }
   EngineStandin& Engine(size_t index) { return *m_engines[index]; }
   ServiceStandin& Service(size_t index) { return *m_services[index]; }
+  size_t EngineCount() const { return m_engines.size(); }
   TestCaller& Caller() { return m_caller; }
+  KvClient& Store() { return m_kv_client; }
   ChildProcess& Vm(int vm) { return m_vms[vm]->m_process; }
   // Only with m_proxies.
   FaultProxy& PeerProxy(int viewer, int target);
@@ -66,8 +72,13 @@
 
   // The manifest to publish; change it, then call Publish().
   Manifest& GetManifest() { return m_manifest; }
-  // Returns the new generation.
+  // Returns the new generation; aborts if the store can't be written.
   int64_t Publish();
+  // The same, but returns the error; the manifest stays unpublished then.
+  Result<int64_t> TryPublish();
+  // Takes the numbering of the manifest in the store, after somebody else
+  // published the same content.
+  void AdoptPublished();
 
   // Starts a VM that was killed or ended, as a new incarnation on new ports.
   void StartVm(int vm);
