--- a/packages/limits/limiter.cc
+++ b/packages/limits/limiter.cc
@@ -15,8 +15,11 @@
 using nlohmann::json;
 
 constexpr Millis kTick{20};
+// A VM is ready so long after it got usable slots, when its buckets hold
+// something, or without slots, as one that only borrows, after the other time.
+constexpr Millis kFill{60};
+constexpr Millis kBorrowOnlyAfter{3000};
 constexpr Millis kWaitStep{2};
-constexpr Millis kFirstFill{200};
 // A token must be handed out so soon after the clock was read for it. A VM
 // paused in between could otherwise admit by an outdated right.
 constexpr Millis kLongestDecision{5};
@@ -79,13 +82,7 @@
 }
 
 bool Limiter::IsReady() const {
-  if (m_keeper == nullptr) {
-    return true;
-  }
-  const Millis usable_since(m_usable_since_ms.load());
-  const bool filled =
-      usable_since != Millis(0) && MonotonicNow() - usable_since >= kFirstFill;
-  return m_keeper->HasTable() && (!m_keeper->HoldsSlots() || filled);
+  return m_keeper == nullptr || m_ready;
 }
 
 json Limiter::Describe() const {
@@ -103,7 +100,7 @@
 void Limiter::Run() {
   while (true) {
     SyncPeers();
-    NoteUsable();
+    UpdateReady();
     std::vector<std::pair<std::string, int64_t>> refused;
     bool stopping = false;
     {
@@ -130,14 +127,19 @@
   }
 }
 
-void Limiter::NoteUsable() {
-  const Millis now = MonotonicNow();
-  const SlotShare share = Share();
-  if (share.m_share <= 0 || now >= share.m_usable_until) {
-    m_usable_since_ms = 0;
-  } else if (m_usable_since_ms == 0) {
-    m_usable_since_ms = now.count();
+void Limiter::UpdateReady() {
+  if (m_ready || m_keeper == nullptr) {
+    return;
   }
+  const Millis now = MonotonicNow();
+  const SlotShare slots = m_keeper->Share();
+  if (slots.m_share <= 0 || now >= slots.m_usable_until) {
+    m_usable_since = Millis(0);
+  } else if (m_usable_since == Millis(0)) {
+    m_usable_since = now;
+  }
+  m_ready = (m_usable_since != Millis(0) && now - m_usable_since >= kFill) ||
+            (m_keeper->HasTable() && now - m_started >= kBorrowOnlyAfter);
 }
 
 void Limiter::SyncPeers() {
@@ -256,7 +258,8 @@
   if (taken) {
     WakeAhead(state, now);
   } else if (m_keeper != nullptr && now >= state.m_refuse_until &&
-             state.m_tokens.m_waiting < kMostWaiting) {
+             state.m_tokens.m_waiting < kMostWaiting &&
+             MayFindToken(state, now)) {
     taken = WaitForLoan(state);
   }
   if (!taken) {
@@ -265,6 +268,14 @@
   return Admission(*this, found->first, std::move(*taken));
 }
 
+bool Limiter::MayFindToken(const Workspace& workspace, Millis now) const {
+  double tokens = AvailableTokens(workspace.m_tokens, now);
+  for (const auto& [vm, peer] : m_peers) {
+    tokens += peer.m_share > 0 ? Believed(workspace, vm, peer.m_share, now) : 0;
+  }
+  return tokens >= 1;
+}
+
 std::optional<TakenToken> Limiter::WaitForLoan(Workspace& workspace) {
   ++workspace.m_tokens.m_waiting;
   ++workspace.m_waits;
@@ -439,10 +450,8 @@
       const uint64_t id = m_next_id++;
       const double amount =
           LendTokens(workspace.m_tokens, id, {item.at(1), item.at(2)}, now);
-      const double left =
-          DecideLoan({1e9, item.at(2)}, workspace.m_tokens.m_bucket.m_tokens,
-                     DemandAt(workspace.m_tokens.m_demand, now), 0);
-      loans.push_back({found->first, id, amount, left});
+      loans.push_back(
+          {found->first, id, amount, workspace.m_tokens.m_bucket.m_tokens});
     }
   } catch (const json::exception&) {
     return Fail(ResultCode::kMalformedBody, "the request for loans is damaged");
--- a/packages/limits/limiter.h
+++ b/packages/limits/limiter.h
@@ -4,6 +4,7 @@
 #ifndef BRONZECROSS_LIMITS_LIMITER_H_
 #define BRONZECROSS_LIMITS_LIMITER_H_
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,9 +44,8 @@
   // succeed. The limit is that of the manifest in force. Thread-safe.
   Result<Admission> Admit(const WorkspaceSpec& workspace);
 
-  // Whether a slot table is known, and this VM's own slots, if it has any, have
-  // filled for a moment: buckets start empty, and a caller within its rate
-  // should not be refused for that.
+  // Whether this VM has had slots with tokens, or a table to borrow by. Before
+  // that it refuses requests that are within their workspace's limit.
   bool IsReady() const;
   nlohmann::json Describe() const;
 
@@ -72,7 +72,7 @@
 
   void Settle(const std::string& name, const TakenToken& token, bool ran);
   void Run();
-  void NoteUsable();
+  void UpdateReady();
   void SyncPeers();
   void SyncConfig() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   SlotShare Share() const;
@@ -80,6 +80,10 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   std::optional<TakenToken> Take(Workspace& workspace)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  // Whether this VM and its peers are believed to have a whole token together.
+  // Fractions that do not make one up would be borrowed in vain.
+  bool MayFindToken(const Workspace& workspace, Millis now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   std::optional<TakenToken> WaitForLoan(Workspace& workspace)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void WakeAhead(const Workspace& workspace, Millis now)
@@ -105,6 +109,9 @@
   Membership& m_membership;
   std::unique_ptr<SlotKeeper> m_keeper;  // null in static mode
   const Millis m_started = MonotonicNow();
+  std::atomic<bool> m_ready = false;
+  // Since when the slots are usable; zero: they are not. For UpdateReady().
+  Millis m_usable_since;
 
   mutable absl::Mutex m_mutex;
   absl::CondVar m_changed;
@@ -115,8 +122,6 @@
   std::map<std::string, Workspace, std::less<>> m_workspaces
       ABSL_GUARDED_BY(m_mutex);
   std::map<std::string, Peer> m_peers ABSL_GUARDED_BY(m_mutex);
-  // When this VM's slots became usable; zero: they are not.
-  std::atomic<int64_t> m_usable_since_ms = 0;
   std::thread m_thread;
 };
 
