--- a/packages/config/manifest.h
+++ b/packages/config/manifest.h
@@ -59,7 +59,7 @@
   std::vector<std::string> m_models;
   std::string m_service;
   // Requests that the upstream runs at once, and its declared relative speed.
-  int64_t m_slots = 1;
+  int64_t m_slots = 8;
   double m_speed = 1;
   // Whether the upstream refuses an order with an old fencing token.
   bool m_checks_fencing = false;
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -21,6 +21,7 @@
 #include "online/online_service.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
+#include "receipts/receipt_service.h"
 #include "store/kv_client.h"
 #include "upstreams/crash_guard.h"
 #include "upstreams/upstream_registry.h"
@@ -52,11 +53,13 @@
   PeerClient m_peer_client;
   Membership m_membership;
   ReplicatedLedger m_ledger;
+  ReceiptService m_receipts;
   Limiter m_limiter;
   UpstreamRegistry m_upstreams;
   KeyGuard m_key_guard;
   CrashGuard m_crashes;
   OnlineService m_online;
+  FileService m_files;
   BatchService m_batch;
   ConfigDistributor m_distributor;
   // Made in Start(), as its record holds the bound addresses.
