Read a body that is a little too large before refusing it

Cause: closing a connection with unread bytes resets it, so that the caller of a body over the limit sometimes lost the refusal; whole_path_test saw it.

Change: a declared length up to twice the limit is read and dropped first, as chunked bodies already were.

Conclusion: larger bodies are still cut early.

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -114,11 +114,21 @@
         FindHeader(exchange.m_request.m_headers, "Content-Length"));
     if (absl::SimpleAtoi(text, &length) &&
         length > exchange.m_plan.m_max_bytes) {
-      return TooLarge(exchange);
+      if (length > DrainLimit(exchange)) {
+        return TooLarge(exchange);
+      }
+      // Read to its end: closing a connection with unread bytes resets it, and
+      // the caller may lose the refusal.
+      exchange.m_too_large = true;
     }
     return std::nullopt;
   }
 
+  // A body up to this size is read and dropped before it is refused.
+  static int64_t DrainLimit(const Exchange& exchange) {
+    return 2 * exchange.m_plan.m_max_bytes + 65536;
+  }
+
   static HttpReply TooLarge(const Exchange& exchange) {
     return ErrorReply(
         Fail(ResultCode::kBodyTooLarge,
@@ -133,6 +143,8 @@
     exchange.m_body_bytes += static_cast<int64_t>(piece.size());
     if (exchange.m_body_bytes > exchange.m_plan.m_max_bytes) {
       exchange.m_too_large = true;
+    }
+    if (exchange.m_too_large) {
       return;
     }
     if (!exchange.m_plan.m_sink) {
@@ -215,9 +227,7 @@
       *upload_size = 0;
       // An endless chunked body is cut; a little over the limit still gets a
       // proper refusal.
-      return exchange->m_body_bytes > 2 * exchange->m_plan.m_max_bytes + 65536
-                 ? MHD_NO
-                 : MHD_YES;
+      return exchange->m_body_bytes > DrainLimit(*exchange) ? MHD_NO : MHD_YES;
     }
     if (exchange->m_post != nullptr) {
       MHD_destroy_post_processor(exchange->m_post);
