--- a/packages/online/attempt_shared.h
+++ b/packages/online/attempt_shared.h
@@ -30,6 +30,8 @@
 };
 
 struct OnlineOptions {
+  // Named to upstreams in the Via header.
+  std::string m_vm_id;
   Millis m_request_timeout{60'000};
   size_t m_max_queue = 256;
   bool m_prefix_routing = true;
--- a/packages/online/attempts.cc
+++ b/packages/online/attempts.cc
@@ -65,6 +65,7 @@
   call.m_timeout = m_plan.m_deadline - MonotonicNow();
   call.m_headers.push_back(
       {std::string(kTimeoutHeader), std::to_string(call.m_timeout.count())});
+  call.m_headers.push_back({"Via", "1.1 " + m_shared.Options().m_vm_id});
   call.m_watch_fd = request.m_client_fd;
   call.m_cancel =
       m_plan.m_guard != nullptr ? &m_plan.m_guard->m_cancel : nullptr;
--- a/packages/orders/order_placer.cc
+++ b/packages/orders/order_placer.cc
@@ -103,21 +103,18 @@
   m_told[from] = std::move(told);
 }
 
-std::set<std::string> OrderPlacer::Blocked() const {
+bool OrderPlacer::IsBlocked(const std::string& upstream) const {
   const Millis now = MonotonicNow();
   absl::MutexLock lock(&m_mutex);
-  std::set<std::string> blocked = m_own_blocked;
-  for (const auto& [from, told] : m_told) {
-    if (now - told.m_at < kToldLife) {
-      blocked.insert(told.m_blocked.begin(), told.m_blocked.end());
-    }
-  }
-  for (const auto& [name, until] : m_moved_until) {
-    if (now < until) {
-      blocked.insert(name);
-    }
+  const auto moved = m_moved_until.find(upstream);
+  if (m_own_blocked.contains(upstream) ||
+      (moved != m_moved_until.end() && now < moved->second)) {
+    return true;
   }
-  return blocked;
+  return std::any_of(m_told.begin(), m_told.end(), [&](const auto& told) {
+    return now - told.second.m_at < kToldLife &&
+           told.second.m_blocked.contains(upstream);
+  });
 }
 
 std::vector<std::string> OrderPlacer::ServedHalves(
--- a/packages/orders/order_placer.h
+++ b/packages/orders/order_placer.h
@@ -56,9 +56,9 @@
   void Start();
   void Stop();
 
-  // Upstreams that get no new request now: about to load, loading, or moved to
-  // this VM's half a moment ago. Thread-safe.
-  std::set<std::string> Blocked() const;
+  // Whether the upstream gets no new request now: it is about to load, loads,
+  // or moved to this VM's half a moment ago. Thread-safe.
+  bool IsBlocked(const std::string& upstream) const;
 
  private:
   // A half's record as last read, and what this VM knows of its holder.
--- a/packages/upstreams/upstream_registry.cc
+++ b/packages/upstreams/upstream_registry.cc
@@ -152,6 +152,7 @@
                               Millis now) const {
   return spec.m_state == UpstreamState::kLeaving ||
          Contains(leaving, spec.m_name) || IsLeavingForPeer(record, now) ||
+         (m_blocked && m_blocked(spec.m_name)) ||
          !AllowsRequest(record.m_breaker, now) ||
          (!IsOpen(record.m_breaker) && IsTrippedByPeer(record, now));
 }
--- a/packages/upstreams/upstream_registry.h
+++ b/packages/upstreams/upstream_registry.h
@@ -97,6 +97,12 @@
     m_online_at_bound = std::move(callback);
   }
 
+  // Upstreams for which `blocked` is true get no new request. It must be cheap
+  // and must not call back. Set before Start().
+  void SetBlocked(std::function<bool(const std::string& name)> blocked) {
+    m_blocked = std::move(blocked);
+  }
+
   // Notified when an upstream may have room again.
   ChangeSignal& Changes() { return *m_changes; }
 
@@ -139,6 +145,7 @@
   const std::vector<std::string> m_halves;
   std::shared_ptr<ChangeSignal> m_changes = std::make_shared<ChangeSignal>();
   std::function<void(std::string_view)> m_online_at_bound;
+  std::function<bool(const std::string&)> m_blocked;
   absl::Mutex m_mutex;
   UpstreamRecords m_records ABSL_GUARDED_BY(m_mutex);
   LoadPoller m_poller;
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -70,6 +70,13 @@
   return options;
 }
 
+OrderPlacerOptions MakeOrderOptions(const Settings& settings) {
+  OrderPlacerOptions options;
+  options.m_halves = settings.m_halves;
+  options.m_store_prefix = settings.m_store_prefix;
+  return options;
+}
+
 HttpServerOptions MakeCallerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.m_address = settings.m_http_address;
@@ -88,6 +95,7 @@
 
 OnlineOptions MakeOnlineOptions(const Settings& settings) {
   OnlineOptions options;
+  options.m_vm_id = settings.m_vm_id;
   options.m_request_timeout = settings.m_request_timeout;
   options.m_max_queue = static_cast<size_t>(settings.m_max_queue);
   options.m_prefix_routing = settings.m_prefix_routing;
@@ -141,6 +149,13 @@
                m_peer_server, m_ledger, m_files, m_http,
                MakeUpstreamAccess(m_upstreams)},
               settings.m_batch),
+      m_orders(
+          MakeOrderOptions(settings),
+          {[this] { return CurrentLease().m_expires; },
+           [this](const std::string& upstream) { return InFlight(upstream); }},
+          m_config,
+          m_membership,
+          m_store),
       m_distributor(m_config,
                     m_store,
                     m_membership,
@@ -157,6 +172,9 @@
                                         [this] { return MakeStatus(); }})) {
   m_upstreams.SetOnlineAtBound(
       [this](std::string_view name) { m_batch.TellOnlineAtBound(name); });
+  m_upstreams.SetBlocked([this](const std::string& upstream) {
+    return m_orders.IsBlocked(upstream);
+  });
 }
 
 Status Daemon::Start() {
@@ -185,6 +203,7 @@
       record.dump(), m_settings.m_vm_lease_ttl);
   m_vm_lease->Start();
   m_lease_view = m_vm_lease.get();
+  m_orders.Start();
   m_limiter.Start();
   Log(Severity::kInfo, LogPart::kMain, "Started.",
       {{"vm", m_settings.m_vm_id},
@@ -215,6 +234,18 @@
   return {};
 }
 
+// Requests in flight on the upstream, sent by all VMs.
+int64_t Daemon::InFlight(const std::string& upstream) {
+  const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
+  const UpstreamSpec* spec = config->FindUpstream(upstream);
+  if (spec == nullptr) {
+    return 0;
+  }
+  const UpstreamLoad load = m_upstreams.LoadOf(*spec);
+  return load.m_own_online + load.m_own_batch + load.m_peers_online +
+         load.m_peers_batch;
+}
+
 KvLease Daemon::CurrentLease() const {
   const VmLease* lease = m_lease_view;
   return lease == nullptr ? KvLease{} : lease->Current();
@@ -280,6 +311,7 @@
   m_receipts.Stop();
   m_ledger.Stop();
   m_limiter.Stop();
+  m_orders.Stop();
   m_vm_lease->Stop();
   m_distributor.Stop();
   m_upstreams.Stop();
--- a/programs/bronzecross/daemon.h
+++ b/programs/bronzecross/daemon.h
@@ -19,6 +19,7 @@
 #include "membership/membership.h"
 #include "online/key_guard.h"
 #include "online/online_service.h"
+#include "orders/order_placer.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
 #include "receipts/receipt_service.h"
@@ -45,6 +46,7 @@
   nlohmann::json MakeStatus() const;
   // This VM's lease; id 0: none yet.
   KvLease CurrentLease() const;
+  int64_t InFlight(const std::string& upstream);
 
   const Settings m_settings;
   std::atomic<bool> m_draining = false;
@@ -65,6 +67,7 @@
   OnlineService m_online;
   FileService m_files;
   BatchService m_batch;
+  OrderPlacer m_orders;
   ConfigDistributor m_distributor;
   // Made in Start(), as its record holds the bound addresses.
   std::unique_ptr<VmLease> m_vm_lease;
