Let only the half that owns an upstream order on it after a takeover

Two faults: a new holder took over the dead one's loads with those of upstreams that had moved to the other half; and a paused holder renewed its lease on waking and went on with what it had read before the lapse. Change: a claim drops foreign loads, loads are advanced only for the half's own upstreams, and the right to order is bound to the lease under which it was claimed.

--- a/packages/orders/order_claim.h
+++ b/packages/orders/order_claim.h
@@ -19,7 +19,7 @@
 
 struct ClaimInputs {
   bool m_exists = false;
-  // The record names this VM and this run of its daemon.
+  // The record names this VM and the lease that it holds now.
   bool m_is_own = false;
   // This VM is the first live one that serves the half.
   bool m_is_first = false;
--- a/packages/orders/order_claim_test.cc
+++ b/packages/orders/order_claim_test.cc
@@ -39,6 +39,14 @@
   CHECK(DecideClaim(free, kTimeout, Millis(0)) == ClaimDecision::kClaim);
 }
 
+// Guards against a holder that was paused until its lease lapsed and goes on
+// under a new lease as if nothing had happened: it may claim only like others.
+TEST_CASE("a holder under a new lease waits and claims again") {
+  ClaimInputs woken = DeadHolder(Millis(500));
+  CHECK(DecideClaim(woken, kTimeout, Millis(1000)) == ClaimDecision::kWait);
+  CHECK(DecideClaim(woken, kTimeout, Millis(1500)) == ClaimDecision::kClaim);
+}
+
 TEST_CASE("no order is sent that could outlive the lease") {
   CHECK(MaySendOrder(Millis(5000), kTimeout, Millis(3999)));
   CHECK_FALSE(MaySendOrder(Millis(5000), kTimeout, Millis(4000)));
--- a/packages/orders/order_placer.cc
+++ b/packages/orders/order_placer.cc
@@ -46,6 +46,16 @@
   return nullptr;
 }
 
+// Removes the loads of upstreams that do not belong to `half`.
+void DropForeignLoads(OrderRecord& record,
+                      const std::string& half,
+                      const Manifest& manifest) {
+  std::erase_if(record.m_loads, [&](const ModelLoad& load) {
+    const UpstreamSpec* spec = FindUpstream(manifest, load.m_upstream);
+    return spec == nullptr || spec->m_half != half;
+  });
+}
+
 }  // namespace
 
 OrderPlacer::OrderPlacer(OrderPlacerOptions options,
@@ -177,6 +187,7 @@
 }
 
 void OrderPlacer::RunOnce() {
+  m_round_lease = m_hooks.m_lease().m_id;
   const std::shared_ptr<const ConfigSnapshot> config = m_config.Get();
   FollowMoves(*config);
   const std::vector<std::string> halves = ServedHalves(config->GetManifest());
@@ -242,16 +253,11 @@
     if (!holder) {
       return false;
     }
-    bool has_lease = false;
-    if (*holder) {
-      const json vm = json::parse((*holder)->m_value, nullptr, false);
-      has_lease = vm.is_object() &&
-                  vm.value("incarnation", int64_t{0}) == record->m_incarnation;
-    }
+    const bool has_lease = *holder && (*holder)->m_lease == record->m_lease;
     HalfState& state = m_states[half];
-    const bool same_holder =
-        state.m_record && state.m_record->m_vm == record->m_vm &&
-        state.m_record->m_incarnation == record->m_incarnation;
+    const bool same_holder = state.m_record &&
+                             state.m_record->m_vm == record->m_vm &&
+                             state.m_record->m_lease == record->m_lease;
     if (has_lease || !same_holder || state.m_holder_has_lease) {
       state.m_gone_since = now;
     }
@@ -301,7 +307,9 @@
 }
 
 bool OrderPlacer::MaySend() const {
-  return MaySendOrder(m_hooks.m_lease_expires(), m_options.m_order_timeout,
+  const KvLease lease = m_hooks.m_lease();
+  return lease.m_id != 0 && lease.m_id == m_round_lease &&
+         MaySendOrder(lease.m_expires, m_options.m_order_timeout,
                       MonotonicNow());
 }
 
@@ -312,7 +320,7 @@
   ClaimInputs inputs;
   inputs.m_exists = state.m_record.has_value();
   inputs.m_is_own = inputs.m_exists && state.m_record->m_vm == self.m_id &&
-                    state.m_record->m_incarnation == self.m_incarnation;
+                    state.m_record->m_lease == m_round_lease;
   inputs.m_is_first = IsFirst(half);
   inputs.m_holder_has_lease = state.m_holder_has_lease;
   inputs.m_gone_since = state.m_gone_since;
@@ -333,10 +341,7 @@
   if (state.m_record->m_generation < manifest.m_halves_generation) {
     OrderRecord record = *state.m_record;
     record.m_generation = config.Generation();
-    std::erase_if(record.m_loads, [&](const ModelLoad& load) {
-      const UpstreamSpec* spec = FindUpstream(manifest, load.m_upstream);
-      return spec == nullptr || spec->m_half != half;
-    });
+    DropForeignLoads(record, half, manifest);
     if (!WriteRecord(half, record)) {
       return;
     }
@@ -368,10 +373,12 @@
   HalfState& state = m_states[half];
   OrderRecord record;
   record.m_vm = m_membership.Self().m_id;
-  record.m_incarnation = m_membership.Self().m_incarnation;
+  record.m_lease = m_round_lease;
   record.m_generation = manifest->m_generation;
-  record.m_loads =
-      state.m_record ? state.m_record->m_loads : std::vector<ModelLoad>();
+  if (state.m_record) {
+    record.m_loads = state.m_record->m_loads;
+    DropForeignLoads(record, half, *manifest);
+  }
   const std::string former = state.m_record ? state.m_record->m_vm : "";
   if (WriteRecord(half, record)) {
     state.m_fenced.clear();
@@ -425,7 +432,8 @@
   OrderRecord record = *state.m_record;
   std::erase_if(record.m_loads, [&](const ModelLoad& load) {
     const UpstreamSpec* spec = FindUpstream(manifest, load.m_upstream);
-    return spec == nullptr || AdvanceLoad(state, half, load, *spec);
+    return spec == nullptr || spec->m_half != half ||
+           AdvanceLoad(state, half, load, *spec);
   });
   if (record != *state.m_record) {
     WriteRecord(half, record);
--- a/packages/orders/order_placer.h
+++ b/packages/orders/order_placer.h
@@ -36,8 +36,8 @@
 };
 
 struct OrderPlacerHooks {
-  // The end of this VM's lease in the store, by its own clock.
-  std::function<Millis()> m_lease_expires;
+  // This VM's lease in the store; id 0: none.
+  std::function<KvLease()> m_lease;
   // Requests in flight on an upstream, over all VMs.
   std::function<int64_t(const std::string&)> m_in_flight;
 };
@@ -106,7 +106,10 @@
   Membership& m_membership;
   KvClient& m_store;
   HttpClient m_http;
-  // The next two are used by the placer's thread only.
+  // The next three are used by the placer's thread only.
+  // This VM's lease when the present round began. Orders of the round are sent
+  // under no other one: what was read before a lapse may be outdated.
+  int64_t m_round_lease = 0;
   std::map<std::string, HalfState> m_states;
   std::map<std::string, std::string> m_last_halves;
 
--- a/packages/orders/order_record.cc
+++ b/packages/orders/order_record.cc
@@ -16,7 +16,7 @@
                      {"version", load.m_version}});
   }
   return json{{"vm", record.m_vm},
-              {"incarnation", record.m_incarnation},
+              {"lease", record.m_lease},
               {"generation", record.m_generation},
               {"loads", loads},
               {"writer", RandomId()}}
@@ -28,7 +28,7 @@
   OrderRecord record;
   try {
     document.at("vm").get_to(record.m_vm);
-    document.at("incarnation").get_to(record.m_incarnation);
+    document.at("lease").get_to(record.m_lease);
     document.at("generation").get_to(record.m_generation);
     for (const json& load : document.at("loads")) {
       record.m_loads.push_back(
--- a/packages/orders/order_record.h
+++ b/packages/orders/order_record.h
@@ -24,7 +24,10 @@
 
 struct OrderRecord {
   std::string m_vm;
-  int64_t m_incarnation = 0;
+  // The VM's lease in the store at the time of the claim. A holder whose lease
+  // has lapsed must claim again, even if no other VM did meanwhile: the other
+  // halves count it as gone.
+  int64_t m_lease = 0;
   // Since the holder wrote this generation it has sent no order to an upstream
   // that the generation gives to another half, and none is under way.
   int64_t m_generation = 0;
--- a/packages/store/kv_client.cc
+++ b/packages/store/kv_client.cc
@@ -43,7 +43,7 @@
 
 KvEntry ToEntry(const json& kv) {
   return KvEntry{GetBytes(kv, "key"), GetBytes(kv, "value"),
-                 GetNumber(kv, "mod_revision")};
+                 GetNumber(kv, "mod_revision"), GetNumber(kv, "lease")};
 }
 
 json ToOperation(const KvWrite& write) {
--- a/packages/store/kv_client.h
+++ b/packages/store/kv_client.h
@@ -22,6 +22,8 @@
   std::string m_key;
   std::string m_value;
   int64_t m_mod_revision = 0;
+  // The lease that the key stands under; 0: none.
+  int64_t m_lease = 0;
 };
 
 struct KvRange {
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -151,7 +151,7 @@
               settings.m_batch),
       m_orders(
           MakeOrderOptions(settings),
-          {[this] { return CurrentLease().m_expires; },
+          {[this] { return CurrentLease(); },
            [this](const std::string& upstream) { return InFlight(upstream); }},
           m_config,
           m_membership,
