Use one hang-up check in the online path and the stand-ins

Cause: the same check on a caller's socket stood in packages/online and in the stand-ins. Change: it lives in packages/http/hang_up.h; behaviour is unchanged. Run after it: the 11 test programs that build on it, and lint of the three sources; all pass.

--- a/packages/online/attempts.cc
+++ b/packages/online/attempts.cc
@@ -1,13 +1,12 @@
 #include "online/attempts.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cerrno>
 
 #include <absl/strings/str_cat.h>
 
 #include "base/log.h"
+#include "http/hang_up.h"
 #include "online/passed_headers.h"
 
 namespace bronzecross {
@@ -26,11 +25,6 @@
 constexpr Millis kQueueLook{20};
 constexpr Millis kHangUpCheck{50};
 
-bool HasHungUp(int fd) {
-  char byte = 0;
-  return fd >= 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 Error GivenUp() {
   return Error{ResultCode::kCancelled, "the caller hung up"};
 }
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -1,7 +1,5 @@
 #include "standins/standin_server.h"
 
-#include <sys/socket.h>
-
 #include <cstdio>
 #include <cstdlib>
 
@@ -12,11 +10,6 @@
 
 }  // namespace
 
-bool HasHungUp(int fd) {
-  char byte = 0;
-  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 StandinServer::StandinServer(Handler handler) : m_handler(std::move(handler)) {}
 
 StandinServer::~StandinServer() {
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "http/hang_up.h"
 #include "http/http_server.h"
 
 namespace bronzecross {
@@ -36,9 +37,6 @@
   std::atomic<bool> m_running = false;
 };
 
-// Whether the other side of a connection has hung up.
-bool HasHungUp(int fd);
-
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_STANDINS_STANDIN_SERVER_H_
