Share rate tokens on demand and use a restarted VM's share at once

Ruled out: larger initial buckets; they would exceed the burst after a kill. Change: a request waits up to a fifth of its latency target for a token that is earned soon or held elsewhere, and news with waiting requests go out at once; a VM whose earlier incarnation is still registered uses its share immediately; entries are kept only after an absence of the store of 1.8 s; SIGHUP is ignored by the storage role; watches gather events for 100 ms; takeovers go by rendezvous.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -28,6 +28,7 @@
 void ClusterView::Put(const VmRecord& record) {
   if (record.m_id == m_self.m_id) {
     m_self_listed = record.m_incarnation == m_self.m_incarnation;
+    m_replaces_earlier_self = m_replaces_earlier_self || !m_self_listed;
     return;
   }
   PeerVm& peer = m_peers[record.m_id];
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -55,6 +55,9 @@
 
   // Whether the service lists this VM's present incarnation.
   bool IsSelfListed() const { return m_self_listed; }
+  // Whether an earlier incarnation of this VM was still registered when this
+  // one started: the others have counted it all the time.
+  bool ReplacesEarlierSelf() const { return m_replaces_earlier_self; }
   // Whether the incarnation is that of a VM known to be alive.
   bool IsAlive(std::string_view id, uint64_t incarnation, Millis now) const;
   // All VMs that may be alive, this one included.
@@ -69,6 +72,7 @@
 
   VmRecord m_self;
   bool m_self_listed = false;
+  bool m_replaces_earlier_self = false;
   std::map<std::string, PeerVm, std::less<>> m_peers;
 };
 
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -14,9 +14,6 @@
 // its return, if the upstream lives.
 constexpr Millis kReturnWindow{2'200};
 
-// A store that failed this recently may have let live entries lapse.
-constexpr Millis kDisturbedWindow{4'000};
-
 }  // namespace
 
 const std::vector<UpstreamPtr>& UpstreamTable::OfService(
@@ -87,7 +84,7 @@
   if (m_by_id.find(name) == m_by_id.end()) {
     return;
   }
-  if (may_return && m_kv.WasDisturbed(MonotonicNow(), kDisturbedWindow)) {
+  if (may_return && m_kv.MayHaveLapsed(MonotonicNow(), kReturnWindow)) {
     m_postponed.emplace(name, MonotonicNow() + kReturnWindow);
     return;
   }
--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -31,6 +31,10 @@
   return node.m_config == nullptr ? defaults : node.m_config->m_limits;
 }
 
+// A request waits for a rate token up to this part of its latency target. A
+// refusal within that time leaves its caller time for a second try.
+constexpr int64_t kTokenPatienceDivisor = 5;
+
 // A status line for requests that can't be read.
 constexpr int kHeadTooLarge = 431;
 constexpr int kBodyTooLarge = 413;
@@ -216,8 +220,11 @@
     co_return true;
   }
   if (request.m_workspace != nullptr) {
-    const Status admitted =
-        node.m_quotas.Admit(*request.m_workspace, MonotonicNow());
+    CallerCancellation cancellation(caller);
+    const Status admitted = co_await node.m_quotas.Admit(
+        *request.m_workspace,
+        request.m_route->m_latency_target / kTokenPatienceDivisor,
+        cancellation);
     if (!admitted) {
       Answer(node, caller, request, admitted.error());
       co_return true;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -20,7 +20,7 @@
 namespace {
 
 // How often postponed removals and shares of the limits are looked at.
-constexpr Millis kUpkeepEvery{200};
+constexpr Millis kUpkeepEvery{100};
 
 // After its registration a VM waits this long before it uses its share of the
 // limits, so that the others have reduced theirs.
@@ -285,7 +285,8 @@
         m_node.m_cluster.IsSelfListed() || m_node.m_registration.IsLeaseHeld();
     listed_since = listed && listed_since == Millis() ? now : listed_since;
     const bool settled =
-        listed_since != Millis() && now - listed_since >= kShareDelay;
+        listed_since != Millis() && (now - listed_since >= kShareDelay ||
+                                     m_node.m_cluster.ReplacesEarlierSelf());
     m_node.m_quotas.SetEntitled(
         settled && IsEntitled(m_node.m_registration.IsLeaseHeld(),
                               m_node.m_cluster.CountHeard(now),
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -27,7 +27,7 @@
       m_cluster(MakeRecord(m_settings)),
       m_registration(m_kv, m_cluster.Self()),
       m_upstreams(m_kv),
-      m_quotas(m_cluster) {}
+      m_quotas(m_cluster, [this] { m_news->SendSoon(); }) {}
 
 Node::~Node() = default;
 
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -43,8 +43,11 @@
 constexpr Millis kTakeoverEvery{500};
 constexpr Millis kScanEvery{15'000};
 
+// Pause after the first scan, whose orphans another VM may have failed to take.
+constexpr Millis kFirstScanPause{2'500};
+
 // After its start a VM waits this long before it judges which VMs are alive.
-constexpr Millis kSettleTime{1'200};
+constexpr Millis kSettleTime{700};
 
 // Pause between repeats of a refused creation.
 constexpr Millis kCreatePause{120};
@@ -753,6 +756,7 @@
 Task<> JobService::RunTakeovers() {
   co_await Sleep(kSettleTime);
   Millis next_scan;
+  Millis scan_pause = kFirstScanPause;
   for (;;) {
     const Millis now = MonotonicNow();
     std::vector<std::string> orphans =
@@ -761,11 +765,14 @@
       const Result<std::vector<std::string>> open = co_await m_store.ListOpen();
       if (open) {
         // Spread over time, so that the VMs don't ask at the same moment.
-        next_scan = now + kScanEvery +
+        next_scan = now + scan_pause +
                     Millis(static_cast<int64_t>(
-                        RandomBelow(ThreadRandom(), kScanEvery.count())));
+                        RandomBelow(ThreadRandom(), scan_pause.count())));
+        scan_pause = kScanEvery;
         for (const std::string& id : *open) {
-          if (m_claims.Find(id) == nullptr && !IsOwner(id)) {
+          if (m_claims.Find(id) == nullptr && !IsOwner(id) &&
+              m_parts.m_cluster.FirstVmFor(id, now) ==
+                  m_parts.m_cluster.Self().m_id) {
             orphans.push_back(id);
           }
         }
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -19,6 +19,10 @@
 // How long an idle connection to the service is used again.
 constexpr Millis kIdleConnection{5'000};
 
+// A shorter absence lets no entry lapse: upstreams renew theirs every second or
+// so, and three renewals must be missed.
+constexpr Millis kLapseAfter{1'800};
+
 // Largest reply; a page holds at most about one megabyte, in base64.
 constexpr size_t kMostReplyBytes = 4 << 20;
 
@@ -71,13 +75,16 @@
                             : reply.error().m_message}});
     }
     NoteDirectFailure(m_any, now);
-    m_last_failure = now;
     return;
   }
   if (m_any.m_failing_since != Millis()) {
     Log(Severity::kInfo, LogPart::kStore, "The store is reachable again.",
         {{"failed_for_ms", now - m_any.m_failing_since}});
   }
+  if (m_any.m_failing_since != Millis() &&
+      now - m_any.m_failing_since >= kLapseAfter) {
+    m_long_absence_end = now;
+  }
   NoteDirectSuccess(m_any);
 }
 
@@ -107,8 +114,11 @@
   return IsDirectPathFailing(m_any, now);
 }
 
-bool KvSession::WasDisturbed(Millis now, Millis span) const {
-  return m_last_failure != Millis() && now - m_last_failure < span;
+bool KvSession::MayHaveLapsed(Millis now, Millis span) const {
+  const bool is_away = m_any.m_failing_since != Millis() &&
+                       now - m_any.m_failing_since >= kLapseAfter;
+  return is_away || (m_long_absence_end != Millis() &&
+                     now - m_long_absence_end < span);
 }
 
 Task<Result<KvItem>> KvSession::Get(std::string key) {
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -45,8 +45,9 @@
 
   // Whether calls have failed on every path for a while.
   bool IsUnavailable(Millis now) const;
-  // Whether any call failed within `span` before `now`.
-  bool WasDisturbed(Millis now, Millis span) const;
+  // Whether the service is away, or came back within `span` before `now`, after an
+  // absence in which entries that others renew may have lapsed.
+  bool MayHaveLapsed(Millis now, Millis span) const;
 
  private:
   enum class CallKind { kShort, kWatch };
@@ -59,7 +60,8 @@
   StorePathState m_direct;
   // The same as in StorePathState, over all paths.
   StorePathState m_any;
-  Millis m_last_failure;
+  // The last absence that was long enough for entries to lapse: its end.
+  Millis m_long_absence_end;
 };
 
 }  // namespace bronzecross
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -18,6 +18,10 @@
 constexpr int64_t kLeastPauseMs = 80;
 constexpr int64_t kMostPauseMs = 320;
 
+// Pause before the next watch after events, so that changes which come close
+// together cost one call.
+constexpr Millis kGatherTime{100};
+
 Millis RandomPause() {
   return Millis(kLeastPauseMs +
                 static_cast<int64_t>(
@@ -46,6 +50,9 @@
           handlers.m_on_event(event);
         }
         revision = std::max(revision, events->m_store_revision);
+        if (!events->m_events.empty()) {
+          co_await Sleep(kGatherTime);
+        }
         continue;
       }
       if (events.error().m_code == ResultCode::kHistoryGone) {
--- a/packages/quota/quota_keeper.cc
+++ b/packages/quota/quota_keeper.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "aio/wait.h"
 #include "base/log.h"
 #include "base/text.h"
-#include "quota/token_sharing.h"
 
 namespace bronzecross {
 namespace {
@@ -12,51 +12,130 @@
 // A grant for news this many sequences back may be a delayed copy.
 constexpr uint64_t kGrantWindow = 12;
 
+// How long it takes until another VM's tokens arrive.
+constexpr Millis kGrantTime{35};
+
 }  // namespace
 
+TokenShare QuotaKeeper::Share(const Account& account, Millis now) const {
+  return ShareOf(account.m_rate_per_s, account.m_burst,
+                 m_cluster.CountMembers(now), m_entitled);
+}
+
 void QuotaKeeper::Refill(Account& account, Millis now) {
-  const TokenShare share = ShareOf(account.m_rate_per_s, account.m_burst,
-                                   m_cluster.CountMembers(now), m_entitled);
+  const TokenShare share = Share(account, now);
+  const Millis passed = std::max(now - account.m_bucket.m_refilled, Millis());
+  account.m_promised =
+      std::max(account.m_promised - share.m_rate_per_s * passed.Seconds(), 0.0);
   bronzecross::Refill(account.m_bucket, share.m_rate_per_s, share.m_capacity,
                       now);
 }
 
-QuotaKeeper::Account& QuotaKeeper::Refilled(const Workspace& workspace,
-                                            Millis now) {
-  Account& account = m_accounts[ShortHash(workspace.m_name)];
-  if (account.m_name.empty()) {
-    account.m_name = workspace.m_name;
-    account.m_bucket.m_refilled = now;
+QuotaKeeper::Account& QuotaKeeper::AccountOf(const Workspace& workspace,
+                                             Millis now) {
+  std::unique_ptr<Account>& account = m_accounts[ShortHash(workspace.m_name)];
+  if (account == nullptr) {
+    account = std::make_unique<Account>();
+    account->m_name = workspace.m_name;
+    account->m_bucket.m_refilled = now;
   }
-  account.m_rate_per_s = workspace.m_rate_per_s;
-  account.m_burst = workspace.m_burst;
-  Refill(account, now);
-  return account;
+  account->m_rate_per_s = workspace.m_rate_per_s;
+  account->m_burst = workspace.m_burst;
+  Refill(*account, now);
+  return *account;
 }
 
-Status QuotaKeeper::Admit(const Workspace& workspace, Millis now) {
-  if (workspace.m_rate_per_s <= 0) {
-    return {};
+std::vector<PeerLevel> QuotaKeeper::LevelsOf(uint32_t workspace,
+                                             Millis now) const {
+  std::vector<PeerLevel> levels;
+  for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
+       ++entry) {
+    const PeerVm& peer = entry->second;
+    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
+      continue;
+    }
+    for (const TokenLevel& level : peer.m_news.m_levels) {
+      if (level.m_workspace == workspace) {
+        levels.push_back(
+            {ShortHash(entry->first), peer.m_news.m_sequence, level.m_tokens});
+      }
+    }
+  }
+  return levels;
+}
+
+Millis QuotaKeeper::NextToken(const Account& account,
+                              uint32_t id,
+                              Millis now) const {
+  double elsewhere = 0;
+  for (const PeerLevel& level : LevelsOf(id, now)) {
+    elsewhere += level.m_tokens;
   }
-  Account& account = Refilled(workspace, now);
-  if (TakeTokens(account.m_bucket, 1)) {
-    return {};
+  if (elsewhere >= 1 + account.m_waiting) {
+    return now + kGrantTime;
   }
+  const TokenShare share = Share(account, now);
+  if (share.m_rate_per_s <= 0) {
+    return kNever;
+  }
+  const double missing = 1 + account.m_waiting - account.m_bucket.m_tokens;
+  return now +
+         Millis(static_cast<int64_t>(missing * 1000 / share.m_rate_per_s));
+}
+
+Status QuotaKeeper::Refuse(Account& account, Millis now) {
   Error error;
   error.m_code = ResultCode::kRateLimited;
   error.m_message =
-      Concat("workspace ", workspace.m_name, " is over its rate of ",
-             workspace.m_rate_per_s, " per second");
-  error.m_retry_after = TimeUntil(account.m_bucket, workspace.m_rate_per_s, 1);
+      Concat("workspace ", account.m_name, " is over its rate of ",
+             account.m_rate_per_s, " per second");
+  error.m_retry_after = RetryAfterRefusal(
+      Share(account, now), account.m_bucket.m_tokens, account.m_promised);
+  account.m_promised += 1;
   return tl::unexpected<Error>(error);
 }
 
+Task<Status> QuotaKeeper::Admit(const Workspace& workspace,
+                                Millis patience,
+                                Cancellation& cancellation) {
+  if (workspace.m_rate_per_s <= 0) {
+    co_return Status();
+  }
+  const uint32_t id = ShortHash(workspace.m_name);
+  const Millis until = MonotonicNow() + patience;
+  Account& account = AccountOf(workspace, MonotonicNow());
+  if (account.m_waiting == 0 && TakeTokens(account.m_bucket, 1)) {
+    co_return Status();
+  }
+  if (NextToken(account, id, MonotonicNow()) > until) {
+    co_return Refuse(account, MonotonicNow());
+  }
+  ++account.m_waiting;
+  m_send_news();
+  bool taken = false;
+  while (!taken && !cancellation.IsCancelled() && MonotonicNow() < until) {
+    WaitAny wait(
+        std::min(until, std::max(NextToken(account, id, MonotonicNow()),
+                                 MonotonicNow() + Millis(5))));
+    wait.Add(account.m_tokens_added);
+    wait.Add(cancellation.Changed());
+    co_await wait;
+    Refill(account, MonotonicNow());
+    taken = TakeTokens(account.m_bucket, 1);
+  }
+  --account.m_waiting;
+  if (!taken) {
+    co_return Refuse(account, MonotonicNow());
+  }
+  co_return Status();
+}
+
 void QuotaKeeper::SetEntitled(bool entitled, Millis now) {
   if (entitled == m_entitled) {
     return;
   }
   for (auto entry = m_accounts.begin(); entry != m_accounts.end(); ++entry) {
-    Refill(entry->second, now);
+    Refill(*entry->second, now);
   }
   m_entitled = entitled;
   Log(entitled ? Severity::kInfo : Severity::kWarning, LogPart::kLimits,
@@ -74,36 +153,17 @@
       continue;
     }
     const uint32_t id = ShortHash(workspace.m_name);
-    Account& account = Refilled(workspace, now);
-    std::vector<PeerLevel> levels;
-    for (auto entry = m_cluster.Peers().begin();
-         entry != m_cluster.Peers().end(); ++entry) {
-      const PeerVm& peer = entry->second;
-      if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
-        continue;
-      }
-      for (const TokenLevel& level : peer.m_news.m_levels) {
-        if (level.m_workspace == id) {
-          levels.push_back({ShortHash(entry->first), level.m_tokens});
-        }
-      }
-    }
-    const double capacity = ShareOf(account.m_rate_per_s, account.m_burst,
-                                    m_cluster.CountMembers(now), m_entitled)
-                                .m_capacity;
+    Account& account = AccountOf(workspace, now);
+    const double capacity = Share(account, now).m_capacity;
+    const double own = account.m_waiting > 0 ? 0 : account.m_bucket.m_tokens;
     for (const PlannedGrant& grant :
-         PlanGrants(account.m_bucket.m_tokens, capacity, levels)) {
+         PlanGrants(own, capacity, LevelsOf(id, now))) {
       TakeTokens(account.m_bucket, grant.m_tokens);
-      uint64_t seen = 0;
-      for (auto entry = m_cluster.Peers().begin();
-           entry != m_cluster.Peers().end(); ++entry) {
-        if (ShortHash(entry->first) == grant.m_receiver) {
-          seen = entry->second.m_news.m_sequence;
-        }
-      }
-      news.m_grants.push_back({grant.m_receiver, id, grant.m_tokens, seen});
+      news.m_grants.push_back({grant.m_receiver.m_vm, id, grant.m_tokens,
+                               grant.m_receiver.m_sequence});
     }
-    news.m_levels.push_back({id, account.m_bucket.m_tokens});
+    news.m_levels.push_back(
+        {id, account.m_bucket.m_tokens - account.m_waiting});
   }
 }
 
@@ -121,13 +181,22 @@
     if (found == m_accounts.end()) {
       continue;
     }
-    Account& account = found->second;
+    Account& account = *found->second;
     Refill(account, now);
-    const double capacity = ShareOf(account.m_rate_per_s, account.m_burst,
-                                    m_cluster.CountMembers(now), m_entitled)
-                                .m_capacity;
+    const double capacity = Share(account, now).m_capacity + account.m_waiting;
     account.m_bucket.m_tokens =
         std::min(capacity, account.m_bucket.m_tokens + grant.m_tokens);
+    account.m_tokens_added.NotifyAll();
+  }
+  // Requests wait at the sender for tokens that this VM has.
+  for (const TokenLevel& level : news.m_levels) {
+    const auto found = m_accounts.find(level.m_workspace);
+    if (level.m_tokens < 0 && found != m_accounts.end() &&
+        found->second->m_waiting == 0 &&
+        found->second->m_bucket.m_tokens >= 1) {
+      m_send_news();
+      return;
+    }
   }
 }
 
--- a/packages/quota/quota_keeper.h
+++ b/packages/quota/quota_keeper.h
@@ -4,30 +4,41 @@
 #define BRONZECROSS_QUOTA_QUOTA_KEEPER_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
+#include "aio/cancellation.h"
+#include "aio/task.h"
 #include "base/error.h"
 #include "cluster/cluster_view.h"
 #include "fleet/fleet_config.h"
 #include "limits/token_bucket.h"
+#include "quota/token_sharing.h"
 
 namespace bronzecross {
 
 class QuotaKeeper {
  public:
-  explicit QuotaKeeper(const ClusterView& cluster) : m_cluster(cluster) {}
+  // `send_news` sends this VM's news to the others without delay.
+  QuotaKeeper(const ClusterView& cluster, std::function<void()> send_news)
+      : m_cluster(cluster), m_send_news(std::move(send_news)) {}
 
-  // Takes a token for one request. Fails with kRateLimited, with the time until
-  // the next token.
-  Status Admit(const Workspace& workspace, Millis now);
+  // Takes a token for one request. If other VMs have tokens, or one is earned
+  // soon, waits up to `patience` for it. Fails with kRateLimited and the best
+  // time to come back.
+  Task<Status> Admit(const Workspace& workspace,
+                     Millis patience,
+                     Cancellation& cancellation);
 
-  // Follows the number of members and whether this VM may use its share.
+  // Follows whether this VM may use its share.
   void SetEntitled(bool entitled, Millis now);
   // Adds this VM's levels to its news, and the tokens that it gives away.
   void AddToNews(const FleetConfig& config, PeerNews& news, Millis now);
-  // Takes the tokens granted to this VM.
+  // Takes the tokens granted to this VM. `own_sequence` is that of its last
+  // news.
   void OnNews(const PeerNews& news, uint64_t own_sequence, Millis now);
 
  private:
@@ -36,15 +47,25 @@
     double m_rate_per_s = 0;
     double m_burst = 0;
     TokenBucket m_bucket;
+    int m_waiting = 0;  // requests that wait for a token
+    // Tokens that refused callers will come back for; falls as they are earned.
+    double m_promised = 0;
+    Condition m_tokens_added;
   };
 
-  Account& Refilled(const Workspace& workspace, Millis now);
+  Account& AccountOf(const Workspace& workspace, Millis now);
+  TokenShare Share(const Account& account, Millis now) const;
   void Refill(Account& account, Millis now);
+  std::vector<PeerLevel> LevelsOf(uint32_t workspace, Millis now) const;
+  // When a token is likely to be there.
+  Millis NextToken(const Account& account, uint32_t id, Millis now) const;
+  Status Refuse(Account& account, Millis now);
 
   const ClusterView& m_cluster;
+  std::function<void()> m_send_news;
   bool m_entitled = false;
   // By ShortHash of the workspace's name.
-  absl::flat_hash_map<uint32_t, Account> m_accounts;
+  absl::flat_hash_map<uint32_t, std::unique_ptr<Account>> m_accounts;
 };
 
 }  // namespace bronzecross
--- a/packages/quota/token_sharing.h
+++ b/packages/quota/token_sharing.h
@@ -13,6 +13,8 @@
 #include <span>
 #include <vector>
 
+#include "base/clock.h"
+
 namespace bronzecross {
 
 // What one VM may hold and earn.
@@ -26,11 +28,12 @@
 
 struct PeerLevel {
   uint32_t m_vm = 0;
-  double m_tokens = 0;
+  uint64_t m_sequence = 0;  // of the news that told of it
+  double m_tokens = 0;      // below zero: so many requests wait for a token
 };
 
 struct PlannedGrant {
-  uint32_t m_receiver = 0;
+  PeerLevel m_receiver;
   double m_tokens = 0;
 };
 
@@ -39,6 +42,12 @@
                                      double capacity,
                                      std::span<const PeerLevel> peers);
 
+// When a refused caller is best back. Callers that were told to come back
+// before hold `promised` tokens of this VM's share.
+Millis RetryAfterRefusal(const TokenShare& share,
+                         double tokens,
+                         double promised);
+
 // Whether a VM may use its share. `lease_held`: the key-value service vouches
 // for it. Otherwise it needs most members to be heard: the others may take over
 // its share only once the service reports its lease as ended, and a VM cut off
--- a/programs/bronzecross/gateway_main.cc
+++ b/programs/bronzecross/gateway_main.cc
@@ -1,5 +1,6 @@
 #include "gateway_main.h"
 
+#include <csignal>
 #include <cstdio>
 
 #include "base/log.h"
@@ -32,6 +33,8 @@
 
 int RunStorage(const CommandLine&) {
   BlockDrainSignals();
+  // There are no settings to read again.
+  std::signal(SIGHUP, SIG_IGN);
   InitBufferedLog(Severity::kInfo, LogFormat::kText);
   Log(Severity::kInfo, LogPart::kMain, "Started as a storage VM.");
   FlushLog();
