--- a/packages/aio/aio_test.cc
+++ b/packages/aio/aio_test.cc
@@ -1,1 +1,154 @@
 #include <doctest/doctest.h>
+
+#include <string>
+
+#include "aio/cancellation.h"
+#include "aio/datagram_socket.h"
+#include "aio/event_loop.h"
+#include "aio/task.h"
+#include "aio/tcp_listener.h"
+#include "aio/wait.h"
+
+namespace bronzecross {
+namespace {
+
+const NetAddress kAnyPort{"127.0.0.1", 0};
+
+Task<int> Add(int a, int b) {
+  co_await Sleep(Millis(1));
+  co_return a + b;
+}
+
+Task<> Sum(EventLoop& loop, int& sum) {
+  for (int i = 0; i < 3; ++i) {
+    sum += co_await Add(i, 1);
+  }
+  loop.Stop();
+}
+
+TEST_CASE("tasks await tasks and timers") {
+  EventLoop loop;
+  int sum = 0;
+  Spawn(Sum(loop, sum));
+  loop.Run();
+  CHECK(sum == 6);
+}
+
+Task<> WaitForFlag(EventLoop& loop, CancelFlag& flag, Millis& took) {
+  const Millis started = MonotonicNow();
+  WaitAny wait(started + Millis(60'000));
+  wait.Add(flag.Changed());
+  co_await wait;
+  took = MonotonicNow() - started;
+  loop.Stop();
+}
+
+Task<> CancelSoon(CancelFlag& flag) {
+  co_await Sleep(Millis(5));
+  flag.Cancel();
+  // A second notification must not resume the waiter again.
+  flag.Cancel();
+}
+
+TEST_CASE("the first condition ends a wait, and only once") {
+  EventLoop loop;
+  CancelFlag flag;
+  Millis took;
+  Spawn(WaitForFlag(loop, flag, took));
+  Spawn(CancelSoon(flag));
+  loop.Run();
+  CHECK(flag.IsCancelled());
+  CHECK(took < Millis(60'000));
+}
+
+Task<std::string> ReadToEnd(TcpStream& stream) {
+  std::string all;
+  char buffer[64];
+  for (;;) {
+    const IoResult result = stream.Read(buffer);
+    if (result.m_state == IoState::kOk) {
+      all.append(buffer, result.m_bytes);
+    } else if (result.m_state == IoState::kAgain) {
+      WaitAny wait(MonotonicNow() + Millis(5'000));
+      wait.Add(stream.Readable());
+      co_await wait;
+    } else {
+      co_return all;
+    }
+  }
+}
+
+Task<> SendAndClose(std::unique_ptr<TcpStream> stream) {
+  stream->Write("hello");
+  co_return;
+}
+
+Task<> ConnectAndRead(EventLoop& loop, NetAddress address, std::string& read) {
+  std::unique_ptr<TcpStream> stream =
+      co_await TcpStream::Connect(address, MonotonicNow() + Millis(5'000));
+  if (stream != nullptr) {
+    // Data and the end of the stream are both there before the first read.
+    co_await Sleep(Millis(30));
+    read = co_await ReadToEnd(*stream);
+  }
+  loop.Stop();
+}
+
+// Guards against missing the end of a stream whose notice came together with
+// its last bytes: edge-triggered epoll reports it once.
+TEST_CASE("the end of a stream is found behind its last bytes") {
+  EventLoop loop;
+  Result<std::unique_ptr<TcpListener>> listener =
+      TcpListener::Open(kAnyPort, [](std::unique_ptr<TcpStream> stream) {
+        Spawn(SendAndClose(std::move(stream)));
+      });
+  REQUIRE(listener);
+  std::string read;
+  Spawn(ConnectAndRead(loop, (*listener)->GetAddress(), read));
+  loop.Run();
+  CHECK(read == "hello");
+}
+
+Task<> ConnectNowhere(EventLoop& loop, bool& connected) {
+  // Nothing listens on port 1.
+  const NetAddress nowhere{"127.0.0.1", 1};
+  const std::unique_ptr<TcpStream> stream =
+      co_await TcpStream::Connect(nowhere, MonotonicNow() + Millis(2'000));
+  connected = stream != nullptr;
+  loop.Stop();
+}
+
+TEST_CASE("a refused connection is reported") {
+  EventLoop loop;
+  bool connected = true;
+  Spawn(ConnectNowhere(loop, connected));
+  loop.Run();
+  CHECK_FALSE(connected);
+}
+
+Task<> StopSoon(EventLoop& loop, const std::string& got) {
+  for (int i = 0; i < 500 && got.empty(); ++i) {
+    co_await Sleep(Millis(5));
+  }
+  loop.Stop();
+}
+
+TEST_CASE("datagrams arrive whole") {
+  EventLoop loop;
+  std::string got;
+  // The address is bound first, so that a second socket can send to it.
+  const NetAddress address{"127.0.0.1", 29'871};
+  Result<std::unique_ptr<DatagramSocket>> receiver = DatagramSocket::Open(
+      address, [&got](std::string_view bytes) { got = bytes; });
+  Result<std::unique_ptr<DatagramSocket>> sender =
+      DatagramSocket::Open(kAnyPort, [](std::string_view) {});
+  REQUIRE(receiver);
+  REQUIRE(sender);
+  (*sender)->Send(address, "news");
+  Spawn(StopSoon(loop, got));
+  loop.Run();
+  CHECK(got == "news");
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -1,1 +1,145 @@
 #include <doctest/doctest.h>
+
+#include "cluster/cluster_view.h"
+
+namespace bronzecross {
+namespace {
+
+VmRecord Record(const std::string& id, uint64_t incarnation) {
+  VmRecord record;
+  record.m_id = id;
+  record.m_incarnation = incarnation;
+  record.m_zone = "z";
+  record.m_address = NetAddress{"127.0.0.1", 7660};
+  return record;
+}
+
+KvEvent Listed(const VmRecord& record) {
+  KvEvent event;
+  event.m_item.m_key = VmKey(record.m_id);
+  event.m_item.m_value = EncodeVmRecord(record);
+  return event;
+}
+
+KvEvent Removed(const std::string& id) {
+  KvEvent event;
+  event.m_item.m_key = VmKey(id);
+  event.m_removed = true;
+  return event;
+}
+
+PeerNews News(const VmRecord& record, uint64_t sequence) {
+  PeerNews news;
+  news.m_sender = record;
+  news.m_sequence = sequence;
+  return news;
+}
+
+TEST_CASE("news survive encoding, and nothing else is taken for news") {
+  PeerNews news = News(Record("b", 7), 9);
+  news.m_uses = {{1, 2, 3}};
+  news.m_levels = {{4, -1.5, 2.5}};
+  news.m_grants = {{5, 6, 0.25, 8}};
+  news.m_backlogs = {{9, 10}};
+  news.m_waiting_tokens = {{11, 12}};
+  news.m_queues = {{13, 14}};
+  news.m_jobs = {{"j1", true}, {"j2", false}};
+  const std::string bytes = EncodeNews(news);
+  const std::optional<PeerNews> decoded = DecodeNews(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->m_sender.m_id == "b");
+  CHECK(decoded->m_sender.m_incarnation == 7);
+  CHECK(decoded->m_sender.m_address == news.m_sender.m_address);
+  CHECK(decoded->m_sequence == 9);
+  CHECK(decoded->m_uses[0].m_batch == 3);
+  CHECK(decoded->m_levels[0].m_tokens == doctest::Approx(-1.5));
+  CHECK(decoded->m_levels[0].m_demand == doctest::Approx(2.5));
+  CHECK(decoded->m_grants[0].m_seen_sequence == 8);
+  CHECK(decoded->m_jobs[1].m_job == "j2");
+  CHECK_FALSE(decoded->m_jobs[1].m_open);
+  for (size_t i = 0; i < bytes.size(); ++i) {
+    DecodeNews(std::string_view(bytes).substr(0, i));
+    std::string spoiled = bytes;
+    spoiled[i] = static_cast<char>(spoiled[i] ^ 0x55);
+    DecodeNews(spoiled);
+  }
+  CHECK_FALSE(DecodeNews(""));
+  CHECK_FALSE(DecodeNews("hello"));
+}
+
+TEST_CASE("old news and earlier incarnations never replace newer ones") {
+  ClusterView view(Record("a", 1));
+  const Millis now(1'000);
+  CHECK(view.OnNews(News(Record("b", 5), 3), now) != nullptr);
+  CHECK(view.OnNews(News(Record("b", 5), 2), now) == nullptr);
+  CHECK(view.OnNews(News(Record("b", 5), 3), now) == nullptr);
+  CHECK(view.OnNews(News(Record("b", 4), 9), now) == nullptr);
+  CHECK(view.OnNews(News(Record("b", 6), 1), now) != nullptr);
+  CHECK(view.OnNews(News(Record("a", 9), 1), now) == nullptr);
+}
+
+// An outage of the store may let every lease lapse; the VMs are still there.
+TEST_CASE("a VM heard from is alive though its registration has ended") {
+  ClusterView view(Record("a", 1));
+  const Millis now(10'000);
+  view.OnEvent(Listed(Record("b", 5)));
+  CHECK(view.CountMembers(now) == 2);
+  CHECK(view.OnNews(News(Record("b", 5), 1), now) != nullptr);
+  view.OnEvent(Removed("b"));
+  CHECK(view.IsAlive("b", 5, now + Millis(1'000)));
+  CHECK(view.CountMembers(now + Millis(1'000)) == 2);
+  CHECK_FALSE(view.IsAlive("b", 5, now + kHeardWindow));
+  CHECK(view.CountMembers(now + kHeardWindow) == 1);
+}
+
+TEST_CASE("a restarted VM is another incarnation") {
+  ClusterView view(Record("a", 1));
+  view.OnEvent(Listed(Record("b", 5)));
+  CHECK(view.IsAlive("b", 5, Millis(1)));
+  view.OnEvent(Listed(Record("b", 6)));
+  CHECK_FALSE(view.IsAlive("b", 5, Millis(1)));
+  CHECK(view.IsAlive("b", 6, Millis(1)));
+}
+
+TEST_CASE("a VM knows whether the others counted it before its restart") {
+  ClusterView fresh(Record("a", 5));
+  fresh.OnEvent(Listed(Record("a", 5)));
+  CHECK_FALSE(fresh.ReplacesEarlierSelf());
+  ClusterView restarted(Record("a", 5));
+  restarted.OnEvent(Listed(Record("a", 4)));
+  restarted.OnEvent(Listed(Record("a", 5)));
+  CHECK(restarted.ReplacesEarlierSelf());
+  CHECK(restarted.IsSelfListed());
+}
+
+TEST_CASE("all VMs choose the same VM for a key, and few keys move") {
+  ClusterView a(Record("a", 1));
+  ClusterView b(Record("b", 1));
+  for (const char* id : {"a", "b", "c", "d"}) {
+    a.OnEvent(Listed(Record(id, 1)));
+    b.OnEvent(Listed(Record(id, 1)));
+  }
+  int moved = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string key = "job-" + std::to_string(i);
+    const std::string first = a.FirstVmFor(key, Millis(1));
+    CHECK(first == b.FirstVmFor(key, Millis(1)));
+    ClusterView smaller(Record("a", 1));
+    smaller.OnEvent(Listed(Record("b", 1)));
+    smaller.OnEvent(Listed(Record("c", 1)));
+    moved += first != "d" && first != smaller.FirstVmFor(key, Millis(1));
+  }
+  CHECK(moved == 0);
+}
+
+TEST_CASE("hints are dropped if the VM is never heard") {
+  ClusterView view(Record("a", 1));
+  view.AddHint(Record("b", 1));
+  CHECK(view.Peers().size() == 1);
+  CHECK(view.CountMembers(MonotonicNow()) == 1);
+  view.Expire(MonotonicNow() + Millis(60'000));
+  CHECK(view.Peers().empty());
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/cluster/peer_news.cc
+++ b/packages/cluster/peer_news.cc
@@ -23,6 +23,8 @@
   kPosZone,
   kPosAddress,
   kPosSequence,
+  kPosOperatorChange,
+  kPosUpstreamChange,
   kPosUses,
   kPosLevels,
   kPosGrants,
@@ -71,7 +73,8 @@
   json levels = json::array();
   for (const TokenLevel& level : news.m_levels) {
     levels.insert(levels.end(), {json(level.m_workspace),
-                                 json(static_cast<float>(level.m_tokens))});
+                                 json(static_cast<float>(level.m_tokens)),
+                                 json(static_cast<float>(level.m_demand))});
   }
   json grants = json::array();
   for (const TokenGrant& grant : news.m_grants) {
@@ -100,7 +103,8 @@
   const json message =
       json::array({kLayout, news.m_sender.m_id, news.m_sender.m_incarnation,
                    news.m_sender.m_zone, news.m_sender.m_address.ToString(),
-                   news.m_sequence, std::move(uses), std::move(levels),
+                   news.m_sequence, news.m_operator_change,
+                   news.m_upstream_change, std::move(uses), std::move(levels),
                    std::move(grants), std::move(backlogs), std::move(waiting),
                    std::move(queues), std::move(jobs)});
   std::string bytes;
@@ -114,6 +118,8 @@
       message[kPosLayout] != kLayout || !message[kPosVm].is_string() ||
       !message[kPosIncarnation].is_number() ||
       !message[kPosSequence].is_number() || !message[kPosJobs].is_array() ||
+      !message[kPosOperatorChange].is_number_integer() ||
+      !message[kPosUpstreamChange].is_number_integer() ||
       !message[kPosZone].is_string() || !message[kPosAddress].is_string()) {
     return std::nullopt;
   }
@@ -123,7 +129,7 @@
     return std::nullopt;
   }
   const Rows uses(message[kPosUses], 3);
-  const Rows levels(message[kPosLevels], 2);
+  const Rows levels(message[kPosLevels], 3);
   const Rows grants(message[kPosGrants], 4);
   const Rows backlogs(message[kPosBacklogs], 2);
   const Rows waiting(message[kPosWaitingTokens], 2);
@@ -138,13 +144,15 @@
   news.m_sender.m_zone = message[kPosZone].get<std::string>();
   news.m_sender.m_address = *std::move(address);
   news.m_sequence = message[kPosSequence].get<uint64_t>();
+  news.m_operator_change = message[kPosOperatorChange].get<int64_t>();
+  news.m_upstream_change = message[kPosUpstreamChange].get<int64_t>();
   for (size_t i = 0; i < uses.Count(); ++i) {
     news.m_uses.push_back(
         {uses.At<uint32_t>(i, 0), uses.At<int>(i, 1), uses.At<int>(i, 2)});
   }
   for (size_t i = 0; i < levels.Count(); ++i) {
-    news.m_levels.push_back(
-        {levels.At<uint32_t>(i, 0), levels.At<double>(i, 1)});
+    news.m_levels.push_back({levels.At<uint32_t>(i, 0), levels.At<double>(i, 1),
+                             levels.At<double>(i, 2)});
   }
   for (size_t i = 0; i < grants.Count(); ++i) {
     news.m_grants.push_back({grants.At<uint32_t>(i, 0),
--- a/packages/cluster/peer_news.h
+++ b/packages/cluster/peer_news.h
@@ -25,7 +25,9 @@
 // Rate tokens of one workspace.
 struct TokenLevel {
   uint32_t m_workspace = 0;  // ShortHash of its name
-  double m_tokens = 0;       // held by the sender
+  double m_tokens =
+      0;  // held by the sender, less the requests that wait for one
+  double m_demand = 0;  // asked for by its callers until its next news
 };
 
 // Rate tokens that the sender gave away; it no longer holds them.
@@ -65,6 +67,9 @@
 struct PeerNews {
   VmRecord m_sender;
   uint64_t m_sequence = 0;  // rises with each news of one incarnation
+  // Revisions of the last changes that the sender has seen.
+  int64_t m_operator_change = 0;  // of what operators write
+  int64_t m_upstream_change = 0;  // of the list of upstreams
   std::vector<UpstreamUse> m_uses;
   std::vector<TokenLevel> m_levels;
   std::vector<TokenGrant> m_grants;
--- a/packages/dispatch/dispatch_test.cc
+++ b/packages/dispatch/dispatch_test.cc
@@ -1,1 +1,146 @@
 #include <doctest/doctest.h>
+
+#include "dispatch/event_splitter.h"
+#include "dispatch/pick_upstream.h"
+#include "dispatch/queue_order.h"
+#include "dispatch/upstream_health.h"
+
+namespace bronzecross {
+namespace {
+
+UpstreamLoad Load(int online, int batch, double work_ms = 30) {
+  UpstreamLoad load;
+  load.m_slots = 8;
+  load.m_online = online;
+  load.m_batch = batch;
+  load.m_work_ms = work_ms;
+  load.m_same_zone = true;
+  return load;
+}
+
+TEST_CASE("requests go where a slot is free, and nowhere if none is") {
+  Random random(1);
+  const std::vector<UpstreamLoad> loads = {Load(8, 0), Load(7, 0), Load(8, 0)};
+  CHECK(PickUpstream(loads, random) == 1);
+  const std::vector<UpstreamLoad> full = {Load(8, 0), Load(9, 0)};
+  CHECK(PickUpstream(full, random) == std::nullopt);
+  CHECK(PickUpstream({}, random) == std::nullopt);
+}
+
+TEST_CASE("batch work makes room before online requests wait") {
+  Random random(1);
+  const std::vector<UpstreamLoad> loads = {Load(8, 0), Load(2, 6)};
+  CHECK(PickUpstream(loads, random) == 1);
+  // A free slot elsewhere is better than taking one.
+  const std::vector<UpstreamLoad> mixed = {Load(2, 6), Load(3, 2)};
+  CHECK(PickUpstream(mixed, random) == 1);
+}
+
+TEST_CASE("slow and unusable upstreams get less") {
+  Random random(1);
+  int slow = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    const std::vector<UpstreamLoad> loads = {Load(2, 0, 60), Load(2, 0, 25)};
+    slow += PickUpstream(loads, random) == 0 ? 1 : 0;
+  }
+  CHECK(slow == 0);
+  std::vector<UpstreamLoad> loads = {Load(0, 0), Load(7, 0)};
+  loads[0].m_usable = false;
+  CHECK(PickUpstream(loads, random) == 1);
+}
+
+TEST_CASE("VMs with the same news don't all choose alike") {
+  Random random(1);
+  std::vector<int> counts(4, 0);
+  for (int i = 0; i < 1'000; ++i) {
+    const std::vector<UpstreamLoad> loads(4, Load(2, 0));
+    ++counts[*PickUpstream(loads, random)];
+  }
+  for (const int count : counts) {
+    CHECK(count > 150);
+  }
+}
+
+TEST_CASE("who can be on time goes first, the most urgent before others") {
+  const Millis now(1'000);
+  const QueuedRequest urgent{0, Millis(1'050), Millis(5'000)};
+  const QueuedRequest later{0, Millis(1'200), Millis(5'000)};
+  const QueuedRequest late{0, Millis(900), Millis(5'000)};
+  const QueuedRequest very_late{0, Millis(100), Millis(2'000)};
+  const QueuedRequest minor{1, Millis(1'010), Millis(5'000)};
+  CHECK(GoesBefore(urgent, later, now));
+  CHECK(GoesBefore(later, late, now));
+  CHECK(GoesBefore(late, very_late, now));
+  CHECK(GoesBefore(very_late, minor, now));
+  CHECK_FALSE(GoesBefore(minor, very_late, now));
+}
+
+TEST_CASE("what can't be served in time is refused at once with advice") {
+  QueueState state;
+  state.m_waiting = 100;
+  state.m_slots = 10;
+  state.m_service_ms = 800;
+  const Millis wait = ExpectedWait(state);
+  CHECK(wait == Millis(8'000));
+  CHECK(ShouldRefuse(wait, Millis(5'000), Millis(800)));
+  CHECK_FALSE(ShouldRefuse(Millis(100), Millis(5'000), Millis(800)));
+  CHECK(RetryAfter(wait) > Millis());
+  CHECK(RetryAfter(wait) < Millis(5'000));
+  state.m_slots = 0;
+  CHECK(ExpectedWait(state) > Millis());
+}
+
+TEST_CASE("an upstream that fails repeatedly is left out, longer each time") {
+  UpstreamHealth health;
+  Millis now(1'000);
+  NoteFailure(health, now);
+  CHECK(IsHealthy(health, kSilencePatience, now));
+  NoteFailure(health, now);
+  CHECK_FALSE(IsHealthy(health, kSilencePatience, now));
+  const Millis first = health.m_closed_until - now;
+  NoteFailure(health, now);
+  CHECK(health.m_closed_until - now > first);
+  for (int i = 0; i < 50; ++i) {
+    NoteFailure(health, now);
+  }
+  CHECK(health.m_closed_until - now <= Millis(2'000));
+  NoteSuccess(health);
+  CHECK(IsHealthy(health, kSilencePatience, now));
+}
+
+TEST_CASE("a silent upstream gets nothing more until it speaks") {
+  UpstreamHealth health;
+  health.m_silent.insert(Millis(1'000));
+  CHECK(IsHealthy(health, kSilencePatience, Millis(1'100)));
+  CHECK_FALSE(
+      IsHealthy(health, kSilencePatience, Millis(1'000) + kSilencePatience));
+  health.m_silent.clear();
+  CHECK(IsHealthy(health, kSilencePatience, Millis(9'000)));
+}
+
+TEST_CASE("events are found in pieces of any size") {
+  const std::string bytes =
+      "id: 1\ndata: a\ndata: b\n\nweight-versions: 2\nid:2\ndata:c\n\n"
+      "id: 3\r\ndata: d\r\n\r\nid: 4\nda";
+  for (size_t step = 1; step < bytes.size(); ++step) {
+    EventSplitter splitter;
+    std::vector<std::string> data;
+    std::vector<int64_t> ids;
+    std::string passed;
+    for (size_t at = 0; at < bytes.size(); at += step) {
+      splitter.Feed(std::string_view(bytes).substr(at, step));
+      StreamEvent event;
+      while (splitter.Next(event)) {
+        data.push_back(event.m_data);
+        ids.push_back(event.m_id);
+        passed += event.m_bytes;
+      }
+    }
+    CHECK(data == std::vector<std::string>{"a\nb", "c", "d"});
+    CHECK(ids == std::vector<int64_t>{1, 2, 3});
+    CHECK(passed + std::string(splitter.Rest()) == bytes);
+  }
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -31,6 +31,7 @@
   const std::vector<UpstreamPtr>& candidates = m_upstreams.OfService(m_service);
   std::vector<UpstreamLoad> loads;
   loads.reserve(candidates.size());
+  bool has_untried = false;
   for (const UpstreamPtr& upstream : candidates) {
     UpstreamLoad load;
     load.m_slots = upstream->m_entry.m_slots;
@@ -39,10 +40,17 @@
     load.m_work_ms = upstream->m_work_ms;
     load.m_same_zone = upstream->m_entry.m_zone == m_zone;
     load.m_usable = upstream->TakesRequests() &&
-                    IsHealthy(upstream->m_health, kSilencePatience, now) &&
-                    !request.m_excluded.contains(upstream->m_entry.m_id);
+                    IsHealthy(upstream->m_health, kSilencePatience, now);
+    has_untried =
+        has_untried ||
+        (load.m_usable && !request.m_excluded.contains(upstream->m_entry.m_id));
     loads.push_back(load);
   }
+  // Upstreams that were tried before are tried again only if there is no other.
+  for (size_t i = 0; has_untried && i < loads.size(); ++i) {
+    loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
+                                                 candidates[i]->m_entry.m_id);
+  }
   const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
   if (!choice) {
     return nullptr;
--- a/packages/fleet/fleet_test.cc
+++ b/packages/fleet/fleet_test.cc
@@ -1,1 +1,67 @@
 #include <doctest/doctest.h>
+
+#include "fleet/fleet_config.h"
+
+namespace bronzecross {
+namespace {
+
+Route MakeRoute(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.m_name = host + prefix;
+  route.m_host = host;
+  route.m_prefix = prefix;
+  return route;
+}
+
+TEST_CASE("the longest prefix of the host decides") {
+  FleetConfig config;
+  config.m_routes = {MakeRoute("a.test", "/x/"), MakeRoute("a.test", "/x/y/"),
+                     MakeRoute("b.test", "/")};
+  IndexConfig(config);
+  CHECK(FindRoute(config, "a.test", "/x/y/z") == &config.m_routes[1]);
+  CHECK(FindRoute(config, "A.TEST:80", "/x/1") == &config.m_routes[0]);
+  CHECK(FindRoute(config, "a.test", "/xy") == nullptr);
+  CHECK(FindRoute(config, "b.test", "/anything") == &config.m_routes[2]);
+  CHECK(FindRoute(config, "c.test", "/x/") == nullptr);
+}
+
+TEST_CASE("keys belong to one workspace") {
+  FleetConfig config;
+  Workspace a;
+  a.m_name = "a";
+  a.m_keys = {"k1", "k2"};
+  config.m_workspaces = {a};
+  IndexConfig(config);
+  CHECK(FindWorkspaceByKey(config, "k2") == &config.m_workspaces[0]);
+  CHECK(FindWorkspaceByKey(config, "") == nullptr);
+  CHECK(FindWorkspaceByKey(config, "k3") == nullptr);
+  CHECK(FindWorkspaceByName(config, "a") == &config.m_workspaces[0]);
+}
+
+TEST_CASE("services are drawn by their weights") {
+  Route route;
+  route.m_services = {{"a", 9}, {"b", 1}, {"c", 0}};
+  Random random(1);
+  int b = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    const std::string_view service = DrawService(route, random);
+    CHECK(service != "c");
+    b += service == "b" ? 1 : 0;
+  }
+  CHECK(b > 800);
+  CHECK(b < 1'200);
+}
+
+TEST_CASE("what may run more than once follows from the route") {
+  Route route;
+  route.m_kind = RouteKind::kStreaming;
+  CHECK_FALSE(route.IsRepeatable());
+  route.m_resumable = true;
+  CHECK(route.IsRepeatable());
+  route = Route();
+  route.m_kind = RouteKind::kIdempotent;
+  CHECK(route.IsRepeatable());
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -11,7 +11,6 @@
 #include "base/metrics.h"
 #include "gateway/caller_connection.h"
 #include "gateway/peer_server.h"
-#include "kv/prefix_follower.h"
 #include "platform/config_document.h"
 #include "platform/keys.h"
 #include "quota/token_sharing.h"
@@ -112,6 +111,13 @@
 Gateway::Gateway(GatewaySettings settings,
                  std::function<Result<GatewaySettings>()> reload)
     : m_node(std::move(settings)),
+      m_operator(m_node.m_kv,
+                 std::string(platform::kOperatorPrefix),
+                 OperatorHandlers()),
+      m_upstreams(m_node.m_kv,
+                  std::string(platform::kUpstreamPrefix),
+                  UpstreamHandlers()),
+      m_vms(m_node.m_kv, std::string(kVmPrefix), VmHandlers()),
       m_peer_calls(m_node.m_cluster),
       m_news(m_node),
       m_jobs(JobService::Parts{
@@ -128,6 +134,8 @@
   m_node.m_news = &m_news;
   m_node.m_jobs = &m_jobs;
   m_node.m_peer_calls = &m_peer_calls;
+  m_node.m_operator = &m_operator;
+  m_node.m_upstream_list = &m_upstreams;
   m_node.m_kv.SetRelay(&m_peer_calls);
 }
 
@@ -191,7 +199,7 @@
 
 void Gateway::OnOperatorItem(const KvItem& item) {
   const std::string_view vm = platform::VmToEmpty(item.m_key);
-  if (!vm.empty()) {
+  if (!vm.empty() && m_emptied.insert(std::string(vm)).second) {
     Spawn(ReportEmptied(std::string(vm)));
     return;
   }
@@ -208,7 +216,7 @@
   m_node.InstallConfig(*std::move(config), item.m_revision);
 }
 
-Task<> Gateway::FollowOperator() {
+PrefixHandlers Gateway::OperatorHandlers() {
   PrefixHandlers handlers;
   handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
     for (const KvItem& item : items) {
@@ -216,15 +224,16 @@
     }
   };
   handlers.m_on_event = [this](const KvEvent& event) {
-    if (!event.m_removed) {
+    if (event.m_removed) {
+      m_emptied.erase(std::string(platform::VmToEmpty(event.m_item.m_key)));
+    } else {
       OnOperatorItem(event.m_item);
     }
   };
-  co_await FollowPrefix(m_node.m_kv, std::string(platform::kOperatorPrefix),
-                        std::move(handlers));
+  return handlers;
 }
 
-Task<> Gateway::FollowUpstreams() {
+PrefixHandlers Gateway::UpstreamHandlers() {
   PrefixHandlers handlers;
   handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
     m_node.m_upstreams.OnSnapshot(items);
@@ -234,11 +243,10 @@
     m_node.m_upstreams.OnEvent(event);
     m_node.DispatchAll();
   };
-  co_await FollowPrefix(m_node.m_kv, std::string(platform::kUpstreamPrefix),
-                        std::move(handlers));
+  return handlers;
 }
 
-Task<> Gateway::FollowVms() {
+PrefixHandlers Gateway::VmHandlers() {
   PrefixHandlers handlers;
   handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
     m_node.m_cluster.OnSnapshot(items);
@@ -246,8 +254,7 @@
   handlers.m_on_event = [this](const KvEvent& event) {
     m_node.m_cluster.OnEvent(event);
   };
-  co_await FollowPrefix(m_node.m_kv, std::string(kVmPrefix),
-                        std::move(handlers));
+  return handlers;
 }
 
 Task<> Gateway::ReportEmptied(std::string vm) {
@@ -334,9 +341,9 @@
 }
 
 void Gateway::StartTasks() {
-  Spawn(FollowOperator());
-  Spawn(FollowUpstreams());
-  Spawn(FollowVms());
+  Spawn(m_operator.Run());
+  Spawn(m_upstreams.Run());
+  Spawn(m_vms.Run());
   Spawn(m_node.m_registration.Run());
   Spawn(m_news.Run());
   Spawn(m_jobs.RunScheduler());
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "gateway/node.h"
 #include "gateway/peer_calls.h"
 #include "jobs/job_service.h"
+#include "kv/prefix_follower.h"
 
 namespace bronzecross {
 
@@ -31,10 +33,11 @@
   Status Listen();
   Status AddListener(const NetAddress& address, TcpListener::Acceptor acceptor);
   void StartTasks();
-  // Reads the configuration and the requests to empty a disk.
-  Task<> FollowOperator();
-  Task<> FollowUpstreams();
-  Task<> FollowVms();
+  // Handlers for the configuration and requests to empty a disk, for upstreams,
+  // and for VMs.
+  PrefixHandlers OperatorHandlers();
+  PrefixHandlers UpstreamHandlers();
+  PrefixHandlers VmHandlers();
   Task<> RunUpkeep();
   Task<> AskSeeds();
   Task<> AskSeed(NetAddress seed);
@@ -46,11 +49,16 @@
 
   EventLoop m_loop;
   Node m_node;
+  PrefixFollower m_operator;
+  PrefixFollower m_upstreams;
+  PrefixFollower m_vms;
   PeerCalls m_peer_calls;
   NewsExchange m_news;
   JobService m_jobs;
   std::function<Result<GatewaySettings>()> m_reload;
   std::vector<std::unique_ptr<TcpListener>> m_listeners;
+  // VMs whose disks the operator wants emptied, as far as that was handled.
+  std::set<std::string> m_emptied;
 };
 
 }  // namespace bronzecross
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -1,1 +1,72 @@
 #include <doctest/doctest.h>
+
+#include "gateway/caller_reply.h"
+#include "gateway/gateway_settings.h"
+
+namespace bronzecross {
+namespace {
+
+constexpr const char* kSettings = R"([vm]
+id = "vm-1"
+availability_zone = "z"
+[listen]
+callers = "10.1.0.5:8405"
+readiness = "10.1.0.5:8406"
+peers = "10.1.0.5:7660"
+bootstrap = "10.1.0.5:8407"
+metrics = "10.1.0.5:7662"
+[store]
+address = "10.200.1.7:8408"
+[cluster]
+seeds = ["10.2.0.3:8407"]
+)";
+
+TEST_CASE("settings are read, with defaults") {
+  const Result<GatewaySettings> settings =
+      ParseGatewaySettings(kSettings, "s.toml");
+  REQUIRE(settings);
+  CHECK(settings->m_callers.m_port == 8405);
+  CHECK(settings->m_seeds.size() == 1);
+  CHECK(settings->m_drain_limit == Millis(7'000));
+}
+
+TEST_CASE("faulty settings are refused with file, line and reason") {
+  std::string text = kSettings;
+  text.replace(text.find("10.200.1.7:8408"), 15, "store.example:1");
+  text += "[limits]\ndrain_limit_ms = -1\nodd = 2\n";
+  const Result<GatewaySettings> settings = ParseGatewaySettings(text, "s.toml");
+  REQUIRE_FALSE(settings);
+  const std::string& message = settings.error().m_message;
+  CHECK(message.find("s.toml:11") != std::string::npos);
+  CHECK(message.find("drain_limit_ms") != std::string::npos);
+  CHECK(message.find("odd") != std::string::npos);
+  CHECK_FALSE(ParseGatewaySettings("[vm", "s.toml"));
+  CHECK_FALSE(ParseGatewaySettings("", "s.toml"));
+}
+
+TEST_CASE("statuses that promise that nothing ran are kept for that") {
+  Error error;
+  error.m_code = ResultCode::kOverloaded;
+  CHECK(StatusOf(error) == 503);
+  error.m_run = RunState::kUnknown;
+  CHECK(StatusOf(error) == 502);
+  error.m_code = ResultCode::kRateLimited;
+  CHECK(StatusOf(error) == 502);
+  error.m_code = ResultCode::kDeadlineExceeded;
+  CHECK(StatusOf(error) == 504);
+}
+
+TEST_CASE("replies carry their length and the advice to come back") {
+  Error error;
+  error.m_code = ResultCode::kOverloaded;
+  error.m_message = "bytes \xff";
+  error.m_retry_after = Millis(1'250);
+  const std::string text = ReplyOf(error).Serialize(false);
+  CHECK(text.starts_with("HTTP/1.1 503 "));
+  CHECK(text.find("Retry-After: 1.25\r\n") != std::string::npos);
+  CHECK(text.find("Connection: close\r\n") != std::string::npos);
+  CHECK(text.find("\"run\":\"not_run\"") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/gateway/news_exchange.cc
+++ b/packages/gateway/news_exchange.cc
@@ -5,6 +5,7 @@
 #include "aio/wait.h"
 #include "base/log.h"
 #include "jobs/job_service.h"
+#include "kv/prefix_follower.h"
 
 namespace bronzecross {
 namespace {
@@ -37,6 +38,8 @@
   PeerNews news;
   news.m_sender = m_node.m_cluster.Self();
   news.m_sequence = ++m_sequence;
+  news.m_operator_change = m_node.m_operator->LastChange();
+  news.m_upstream_change = m_node.m_upstream_list->LastChange();
   for (auto entry = m_node.m_upstreams.All().begin();
        entry != m_node.m_upstreams.All().end(); ++entry) {
     const Upstream& upstream = *entry->second;
@@ -91,6 +94,8 @@
   if (peer == nullptr) {
     return;
   }
+  m_node.m_operator->OnPeerChange(peer->m_news.m_operator_change, now);
+  m_node.m_upstream_list->OnPeerChange(peer->m_news.m_upstream_change, now);
   m_node.m_quotas.OnNews(peer->m_news, m_sequence, now);
   m_node.m_jobs->OnNews(peer->m_news, now);
   m_node.m_upstreams.OnPeerUses(m_node.m_cluster, now);
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -23,6 +23,7 @@
 class JobService;
 class NewsExchange;
 class PeerCalls;
+class PrefixFollower;
 
 struct Node {
   explicit Node(GatewaySettings settings);
@@ -51,6 +52,8 @@
   NewsExchange* m_news = nullptr;
   JobService* m_jobs = nullptr;
   PeerCalls* m_peer_calls = nullptr;
+  PrefixFollower* m_operator = nullptr;
+  PrefixFollower* m_upstream_list = nullptr;
 
   // Zero until the process was told to stop.
   Millis m_draining_since;
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -72,9 +72,10 @@
   if (last != peers.end()) {
     std::iter_swap(peers.begin(), last);
   }
-  if (peers.size() > kMostRelays) {
-    peers.resize(kMostRelays);
-  }
+  // A watch is not tried at a second peer: whatever ended it, the caller pauses
+  // before the next one.
+  const bool is_long = deadline - now > kRelayTimeout * 2;
+  peers.resize(std::min(peers.size(), is_long ? size_t{1} : kMostRelays));
   // A call that a peer may have passed on counts as sent.
   RunState run = RunState::kNotRun;
   for (const std::string& peer : peers) {
--- a/packages/http1/http1_test.cc
+++ b/packages/http1/http1_test.cc
@@ -1,1 +1,113 @@
 #include <doctest/doctest.h>
+
+#include <string>
+
+#include "http1/message_head.h"
+#include "http1/message_parser.h"
+#include "http1/write_message.h"
+
+namespace bronzecross {
+namespace {
+
+TEST_CASE("a request is parsed in pieces of any size, and the next one stays") {
+  const std::string bytes =
+      "POST /a/b?c=d HTTP/1.1\r\nHost: h.test\r\nContent-Length: 5\r\n\r\nhello"
+      "GET /next HTTP/1.1\r\nHost: h.test\r\n\r\n";
+  for (size_t step = 1; step < bytes.size(); ++step) {
+    MessageParser parser(MessageKind::kRequest);
+    size_t at = 0;
+    while (parser.GetState() != ParseState::kComplete) {
+      const size_t used = parser.Feed(std::string_view(bytes).substr(at, step));
+      at += used;
+      REQUIRE(parser.GetState() != ParseState::kFailed);
+      REQUIRE(at <= bytes.size());
+    }
+    CHECK(parser.GetHead().m_method == "POST");
+    CHECK(parser.GetHead().m_target == "/a/b?c=d");
+    CHECK(parser.GetHead().Find("HOST") == "h.test");
+    CHECK(parser.Body() == "hello");
+    CHECK(parser.MayKeepAlive());
+    parser.Reset();
+    parser.Feed(std::string_view(bytes).substr(at));
+    CHECK(parser.GetState() == ParseState::kComplete);
+    CHECK(parser.GetHead().m_target == "/next");
+  }
+}
+
+TEST_CASE("a request with two lengths is refused: it could hide another one") {
+  MessageParser parser(MessageKind::kRequest);
+  parser.Feed(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n");
+  CHECK(parser.GetState() == ParseState::kFailed);
+}
+
+TEST_CASE("chunked bodies are whole only with their last chunk") {
+  MessageParser parser(MessageKind::kResponse);
+  parser.Feed(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  CHECK(parser.GetState() == ParseState::kBody);
+  CHECK(parser.Body() == "abc");
+  MessageParser cut = std::move(parser);
+  cut.FeedEnd();
+  CHECK(cut.GetState() == ParseState::kFailed);
+}
+
+TEST_CASE("a body without a length ends with its connection") {
+  MessageParser parser(MessageKind::kResponse);
+  parser.Feed("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\nabc");
+  CHECK(parser.GetState() == ParseState::kBody);
+  CHECK_FALSE(parser.IsFramed());
+  parser.FeedEnd();
+  CHECK(parser.GetState() == ParseState::kComplete);
+  CHECK(parser.Body() == "abc");
+}
+
+TEST_CASE("a short body is not taken as whole") {
+  MessageParser parser(MessageKind::kResponse);
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  parser.FeedEnd();
+  CHECK(parser.GetState() == ParseState::kFailed);
+}
+
+TEST_CASE("bytes that are no message fail") {
+  MessageParser parser(MessageKind::kResponse);
+  parser.Feed("\x16\x03\x01 not http at all\r\n\r\n");
+  CHECK(parser.GetState() == ParseState::kFailed);
+}
+
+TEST_CASE("query values are decoded, and encoded back") {
+  CHECK(QueryValue("/p?a=1&b=x%2Fy%20z", "b") == "x/y z");
+  CHECK(QueryValue("/p?a=1", "b") == std::nullopt);
+  CHECK(QueryValue("/p?a=%zz", "a") == std::nullopt);
+  CHECK(QueryValue("/p?v=" + EncodeQueryValue("a b&c=d%"), "v") == "a b&c=d%");
+}
+
+TEST_CASE("numbers are decimal and whole") {
+  CHECK(ParseDecimal("42") == 42);
+  CHECK(ParseDecimal("") == std::nullopt);
+  CHECK(ParseDecimal("-1") == std::nullopt);
+  CHECK(ParseDecimal("4x") == std::nullopt);
+  CHECK(ParseDecimal("99999999999999999999") == std::nullopt);
+}
+
+TEST_CASE("fields that concern one connection are known") {
+  CHECK(IsHopByHop("Transfer-Encoding", ""));
+  CHECK(IsHopByHop("x-mine", "close, X-Mine"));
+  CHECK_FALSE(IsHopByHop("Server-Stamp", "close"));
+  CHECK(IsValidField("X-A", "b"));
+  CHECK_FALSE(IsValidField("X-A", "b\r\nInjected: 1"));
+  CHECK_FALSE(IsValidField("X A", "b"));
+  CHECK_FALSE(IsValidField("", "b"));
+}
+
+TEST_CASE("chunks carry their length; none is written for no bytes") {
+  std::string out;
+  AppendChunk(out, "");
+  CHECK(out.empty());
+  AppendChunk(out, "0123456789abcdef");
+  CHECK(out == "10\r\n0123456789abcdef\r\n");
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -1,1 +1,159 @@
 #include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "jobs/batch_room.h"
+#include "jobs/job.h"
+#include "jobs/job_claims.h"
+#include "jobs/job_record.h"
+
+namespace bronzecross {
+namespace {
+
+TEST_CASE("batch leaves headroom and never overfills") {
+  CHECK(FreeForBatch({8, 2, 3}) == 2);
+  CHECK(FreeForBatch({8, 8, 0}) == 0);
+  CHECK(FreeForBatch({8, 9, 4}) == 0);
+  CHECK(FreeForBatch({1, 0, 0}) == 1);
+}
+
+TEST_CASE("VMs share room by what waits at each") {
+  Random random(1);
+  CHECK(ShareOfRoom(6, 10, 10, random) == 6);
+  CHECK(ShareOfRoom(6, 2, 2, random) == 2);
+  CHECK(ShareOfRoom(0, 10, 10, random) == 0);
+  CHECK(ShareOfRoom(6, 0, 10, random) == 0);
+  int total = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    total += ShareOfRoom(6, 5, 40, random);
+  }
+  CHECK(total > 6'500);
+  CHECK(total < 8'500);
+}
+
+// Three VMs with the same view stop just as many items as are too many.
+TEST_CASE("VMs yield the excess once between them") {
+  const std::vector<VmBatch> batches = {{"a", 3}, {"b", 2}, {"c", 2}};
+  for (int online = 1; online <= 10; ++online) {
+    const UpstreamRoom room{8, online, 7};
+    int stopped = 0;
+    for (const VmBatch& batch : batches) {
+      stopped += ItemsToYield(room, batch.m_vm, batches);
+    }
+    CHECK(stopped == std::clamp(online + 7 - 8, 0, 7));
+  }
+}
+
+JobSpec MakeSpec() {
+  JobSpec spec;
+  spec.m_id = "j1";
+  spec.m_workspace = "ws";
+  spec.m_route = "r";
+  spec.m_host = "h";
+  spec.m_submitted = Millis(5);
+  spec.m_due = Millis(6);
+  spec.m_retained_until = Millis(7);
+  for (int i = 0; i < 3; ++i) {
+    JobItem item;
+    item.m_id = "i" + std::to_string(i);
+    item.m_target = "/p";
+    item.m_fields = {{"Model", "m"}};
+    item.m_body = std::string("\x00\xff\x80", 3);
+    item.m_tokens = 10;
+    spec.m_items.push_back(std::move(item));
+  }
+  return spec;
+}
+
+TEST_CASE("records survive encoding; spoiled ones are refused") {
+  const std::optional<JobSpec> spec = DecodeJobSpec(EncodeJobSpec(MakeSpec()));
+  REQUIRE(spec);
+  CHECK(spec->m_items[2].m_body == std::string("\x00\xff\x80", 3));
+  CHECK(spec->m_items[0].m_fields[0].m_value == "m");
+  CHECK(spec->m_retained_until == Millis(7));
+  JobState state;
+  state.m_owner = "vm";
+  state.m_owner_incarnation = 9;
+  state.m_listed = 2;
+  state.m_write_id = "w";
+  const std::optional<JobState> read = DecodeJobState(EncodeJobState(state));
+  REQUIRE(read);
+  CHECK(read->m_owner_incarnation == 9);
+  CHECK(read->m_write_id == "w");
+  const std::vector<JobResult> results = {
+      {"i0", JobResultState::kAbandoned, std::string("\xff\n", 2)}};
+  const std::optional<std::vector<JobResult>> group =
+      DecodeResultGroup(EncodeResultGroup(results));
+  REQUIRE(group);
+  CHECK((*group)[0].m_output == std::string("\xff\n", 2));
+  for (const std::string& bytes :
+       {EncodeJobSpec(MakeSpec()), EncodeJobState(state)}) {
+    for (size_t i = 0; i < bytes.size(); ++i) {
+      CHECK_FALSE(DecodeJobSpec(bytes.substr(0, i)));
+      CHECK_FALSE(DecodeJobState(bytes.substr(0, i)));
+    }
+  }
+}
+
+TEST_CASE("result groups are listed in the order of their numbers") {
+  CHECK(JobResultsKey("j", 9) < JobResultsKey("j", 10));
+  CHECK(JobResultsKey("j", 99) < JobResultsKey("j", 100));
+}
+
+TEST_CASE("a job taken over runs only what isn't listed") {
+  JobState state;
+  state.m_total = 3;
+  const JobPtr job =
+      MakeJob(MakeSpec(), state, 4, {{"i1", JobResultState::kCompleted, "x"}});
+  CHECK(CountWaiting(*job) == 2);
+  CHECK(CountUnfinishedTokens(*job) == 20);
+  FinishItem(*job, 0, JobResultState::kCompleted);
+  CHECK(CountUnfinishedTokens(*job) == 10);
+  CHECK(job->m_unlisted.size() == 1);
+}
+
+KvEvent ListedVm(const std::string& id) {
+  VmRecord record;
+  record.m_id = id;
+  record.m_incarnation = 1;
+  record.m_zone = "z";
+  record.m_address = NetAddress{"127.0.0.1", 1};
+  KvEvent event;
+  event.m_item.m_key = VmKey(id);
+  event.m_item.m_value = EncodeVmRecord(record);
+  return event;
+}
+
+TEST_CASE("one VM takes over the open jobs of a VM that is gone") {
+  VmRecord self;
+  self.m_id = "a";
+  self.m_incarnation = 1;
+  ClusterView a(self);
+  self.m_id = "b";
+  ClusterView b(self);
+  for (const char* id : {"a", "b", "c"}) {
+    a.OnEvent(ListedVm(id));
+    b.OnEvent(ListedVm(id));
+  }
+  JobClaims claims;
+  for (int i = 0; i < 50; ++i) {
+    claims.Note("open-" + std::to_string(i), {"c", 1, true, Millis(1)});
+    claims.Note("done-" + std::to_string(i), {"c", 1, false, Millis(1)});
+  }
+  CHECK(claims.OrphansOf(a, Millis(1)).empty());
+  KvEvent removed = ListedVm("c");
+  removed.m_removed = true;
+  a.OnEvent(removed);
+  b.OnEvent(removed);
+  const size_t at_a = claims.OrphansOf(a, Millis(1)).size();
+  const size_t at_b = claims.OrphansOf(b, Millis(1)).size();
+  CHECK(at_a + at_b == 50);
+  CHECK(at_a > 0);
+  CHECK(at_b > 0);
+  claims.Expire(Millis(10'000), Millis(5'000));
+  CHECK(claims.Find("done-1") == nullptr);
+  CHECK(claims.Find("open-1") != nullptr);
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -117,8 +117,8 @@
 bool KvSession::MayHaveLapsed(Millis now, Millis span) const {
   const bool is_away = m_any.m_failing_since != Millis() &&
                        now - m_any.m_failing_since >= kLapseAfter;
-  return is_away || (m_long_absence_end != Millis() &&
-                     now - m_long_absence_end < span);
+  return is_away ||
+         (m_long_absence_end != Millis() && now - m_long_absence_end < span);
 }
 
 Task<Result<KvItem>> KvSession::Get(std::string key) {
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -45,8 +45,8 @@
 
   // Whether calls have failed on every path for a while.
   bool IsUnavailable(Millis now) const;
-  // Whether the service is away, or came back within `span` before `now`, after an
-  // absence in which entries that others renew may have lapsed.
+  // Whether the service is away, or came back within `span` before `now`, after
+  // an absence in which entries that others renew may have lapsed.
   bool MayHaveLapsed(Millis now, Millis span) const;
 
  private:
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -22,6 +22,10 @@
 // together cost one call.
 constexpr Millis kGatherTime{100};
 
+// A VM that is behind another one for so long has lost a notice. Notices take a
+// few milliseconds, and VMs gather them for a tenth of a second.
+constexpr Millis kBehindLimit{350};
+
 Millis RandomPause() {
   return Millis(kLeastPauseMs +
                 static_cast<int64_t>(
@@ -30,41 +34,87 @@
 
 }  // namespace
 
-Task<> FollowPrefix(KvSession& session,
-                    std::string prefix,
-                    PrefixHandlers handlers) {
+PrefixFollower::PrefixFollower(KvSession& session,
+                               std::string prefix,
+                               PrefixHandlers handlers)
+    : m_session(session),
+      m_prefix(std::move(prefix)),
+      m_handlers(std::move(handlers)) {}
+
+Task<bool> PrefixFollower::ReadAll() {
+  const Result<KvPage> snapshot = co_await m_session.Range(m_prefix);
+  if (!snapshot) {
+    co_return false;
+  }
+  for (const KvItem& item : snapshot->m_items) {
+    m_last_change = std::max(m_last_change, item.m_revision);
+  }
+  m_known_up_to = std::max(m_known_up_to, snapshot->m_store_revision);
+  m_handlers.m_on_snapshot(snapshot->m_items);
+  co_return true;
+}
+
+Task<> PrefixFollower::Follow() {
+  int64_t revision = m_known_up_to;
   for (;;) {
-    const Result<KvPage> snapshot = co_await session.Range(prefix);
-    if (!snapshot) {
-      co_await Sleep(RandomPause());
-      continue;
-    }
-    handlers.m_on_snapshot(snapshot->m_items);
-    int64_t revision = snapshot->m_store_revision;
-    bool has_history = true;
-    while (has_history) {
-      const Result<KvEvents> events =
-          co_await session.Watch(prefix, revision, kWatchWait);
-      if (events) {
-        for (const KvEvent& event : events->m_events) {
-          handlers.m_on_event(event);
-        }
-        revision = std::max(revision, events->m_store_revision);
-        if (!events->m_events.empty()) {
-          co_await Sleep(kGatherTime);
-        }
-        continue;
+    const Result<KvEvents> events =
+        co_await m_session.Watch(m_prefix, revision, kWatchWait);
+    if (events) {
+      for (const KvEvent& event : events->m_events) {
+        m_last_change = std::max(m_last_change, event.m_item.m_revision);
+        m_handlers.m_on_event(event);
       }
-      if (events.error().m_code == ResultCode::kHistoryGone) {
-        Log(Severity::kInfo, LogPart::kStore,
-            "The store dropped its history; reading all again.",
-            {{"prefix", prefix}, {"revision", revision}});
-        has_history = false;
-        continue;
+      revision = std::max(revision, events->m_store_revision);
+      m_known_up_to = std::max(m_known_up_to, revision);
+      if (!events->m_events.empty()) {
+        co_await Sleep(kGatherTime);
       }
+      continue;
+    }
+    if (events.error().m_code == ResultCode::kHistoryGone) {
+      Log(Severity::kInfo, LogPart::kStore,
+          "The store dropped its history; reading all again.",
+          {{"prefix", m_prefix}, {"revision", revision}});
+      co_return;
+    }
+    co_await Sleep(RandomPause());
+  }
+}
+
+Task<> PrefixFollower::Run() {
+  for (;;) {
+    const bool read = co_await ReadAll();
+    if (read) {
+      co_await Follow();
+    } else {
       co_await Sleep(RandomPause());
     }
   }
 }
 
+Task<> PrefixFollower::ReadAgain() {
+  m_reading_again = true;
+  co_await ReadAll();
+  m_reading_again = false;
+  m_behind_since = Millis();
+}
+
+void PrefixFollower::OnPeerChange(int64_t revision, Millis now) {
+  if (revision <= m_known_up_to || m_known_up_to == 0) {
+    return;
+  }
+  if (m_behind_since == Millis()) {
+    m_behind_since = now;
+    return;
+  }
+  if (now - m_behind_since >= kBehindLimit && !m_reading_again) {
+    Log(Severity::kWarning, LogPart::kStore,
+        "Another VM knows a later change; reading all again.",
+        {{"prefix", m_prefix},
+         {"known_up_to", m_known_up_to},
+         {"change", revision}});
+    Spawn(ReadAgain());
+  }
+}
+
 }  // namespace bronzecross
--- a/packages/kv/prefix_follower.h
+++ b/packages/kv/prefix_follower.h
@@ -18,10 +18,39 @@
   std::function<void(const KvEvent&)> m_on_event;
 };
 
-// Runs until the process ends. `session` must outlive it.
-Task<> FollowPrefix(KvSession& session,
-                    std::string prefix,
-                    PrefixHandlers handlers);
+// A watch may stay open and tell nothing. VMs compare how far they are, so that
+// one that hears of a later change elsewhere reads all again.
+class PrefixFollower {
+ public:
+  // `session` must outlive this object, and this object the process's tasks.
+  PrefixFollower(KvSession& session,
+                 std::string prefix,
+                 PrefixHandlers handlers);
+
+  // Runs until the process ends.
+  Task<> Run();
+
+  // Revision of the last change seen, for other VMs.
+  int64_t LastChange() const { return m_last_change; }
+  // Another VM has seen a change at `revision`. Reads all again if this VM
+  // hasn't heard of it for a while.
+  void OnPeerChange(int64_t revision, Millis now);
+
+ private:
+  Task<bool> ReadAll();
+  Task<> Follow();
+  Task<> ReadAgain();
+
+  KvSession& m_session;
+  std::string m_prefix;
+  PrefixHandlers m_handlers;
+  int64_t m_last_change = 0;
+  // Every change up to this revision is known.
+  int64_t m_known_up_to = 0;
+  // Since when another VM has been ahead; zero: none is.
+  Millis m_behind_since;
+  bool m_reading_again = false;
+};
 
 }  // namespace bronzecross
 
--- a/packages/quota/quota_keeper.cc
+++ b/packages/quota/quota_keeper.cc
@@ -104,6 +104,7 @@
   const uint32_t id = ShortHash(workspace.m_name);
   const Millis until = MonotonicNow() + patience;
   Account& account = AccountOf(workspace, MonotonicNow());
+  account.m_asked += 1;
   if (account.m_waiting == 0 && TakeTokens(account.m_bucket, 1)) {
     co_return Status();
   }
@@ -155,15 +156,17 @@
     const uint32_t id = ShortHash(workspace.m_name);
     Account& account = AccountOf(workspace, now);
     const double capacity = Share(account, now).m_capacity;
-    const double own = account.m_waiting > 0 ? 0 : account.m_bucket.m_tokens;
+    account.m_demand = ExpectedDemand(account.m_demand, account.m_asked);
+    account.m_asked = 0;
+    const double own = account.m_bucket.m_tokens - account.m_waiting;
     for (const PlannedGrant& grant :
-         PlanGrants(own, capacity, LevelsOf(id, now))) {
+         PlanGrants(own, account.m_demand, capacity, LevelsOf(id, now))) {
       TakeTokens(account.m_bucket, grant.m_tokens);
       news.m_grants.push_back({grant.m_receiver.m_vm, id, grant.m_tokens,
                                grant.m_receiver.m_sequence});
     }
     news.m_levels.push_back(
-        {id, account.m_bucket.m_tokens - account.m_waiting});
+        {id, account.m_bucket.m_tokens - account.m_waiting, account.m_demand});
   }
 }
 
--- a/packages/quota/quota_keeper.h
+++ b/packages/quota/quota_keeper.h
@@ -47,7 +47,9 @@
     double m_rate_per_s = 0;
     double m_burst = 0;
     TokenBucket m_bucket;
-    int m_waiting = 0;  // requests that wait for a token
+    int m_waiting = 0;    // requests that wait for a token
+    double m_asked = 0;   // requests since the last news
+    double m_demand = 0;  // requests expected until the next news
     // Tokens that refused callers will come back for; falls as they are earned.
     double m_promised = 0;
     Condition m_tokens_added;
--- a/packages/quota/quota_test.cc
+++ b/packages/quota/quota_test.cc
@@ -1,1 +1,131 @@
 #include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "base/random.h"
+#include "quota/token_sharing.h"
+
+namespace bronzecross {
+namespace {
+
+TEST_CASE("the shares of all VMs add up to the whole limit") {
+  for (int members = 1; members <= 16; ++members) {
+    const TokenShare share = ShareOf(64, 64, members, true);
+    CHECK(share.m_rate_per_s * members == doctest::Approx(64));
+    CHECK(share.m_capacity * members == doctest::Approx(64));
+  }
+  CHECK(ShareOf(64, 64, 4, false).m_capacity == 0);
+}
+
+TEST_CASE("a VM cut off from the store and from most others stops") {
+  CHECK(IsEntitled(true, 1, 8));
+  CHECK(IsEntitled(false, 5, 8));
+  CHECK_FALSE(IsEntitled(false, 4, 8));
+}
+
+TEST_CASE("grants never exceed what the giver holds") {
+  Random random(3);
+  for (int round = 0; round < 2'000; ++round) {
+    const double capacity = 1 + RandomUnit(random) * 20;
+    const double own = RandomUnit(random) * capacity;
+    std::vector<PeerLevel> peers;
+    for (uint32_t i = 0; i < 8; ++i) {
+      peers.push_back({i, 1, RandomUnit(random) * capacity * 1.5 - 4,
+                       RandomUnit(random) * 5});
+    }
+    double given = 0;
+    for (const PlannedGrant& grant :
+         PlanGrants(own, RandomUnit(random), capacity, peers)) {
+      CHECK(grant.m_tokens > 0);
+      given += grant.m_tokens;
+    }
+    CHECK(given <= own + 1e-9);
+  }
+}
+
+TEST_CASE("tokens go where callers ask for them") {
+  const std::vector<PeerLevel> peers = {{1, 1, -1, 4}, {2, 1, 5, 0}};
+  const std::vector<PlannedGrant> grants = PlanGrants(1.5, 0, 8, peers);
+  REQUIRE(grants.size() == 1);
+  CHECK(grants[0].m_receiver.m_vm == 1);
+  CHECK(PlanGrants(1.5, 2, 8, peers).empty());
+}
+
+TEST_CASE(
+    "refused callers are spread over the time in which tokens are earned") {
+  const TokenShare share{10, 5};
+  const Millis first = RetryAfterRefusal(share, 0, 0);
+  const Millis later = RetryAfterRefusal(share, 0, 8);
+  CHECK(first < later);
+  CHECK(RetryAfterRefusal(share, 0, 1'000) <= Millis(1'500));
+  CHECK(RetryAfterRefusal(TokenShare(), 0, 0) > Millis());
+}
+
+// A played load: callers of one workspace reach one VM of eight only. Checks
+// what they get, and that no window exceeds rate and burst.
+TEST_CASE("callers at one VM get nearly the whole rate, never more") {
+  constexpr int kVms = 8;
+  constexpr double kRate = 40;
+  constexpr double kBurst = 40;
+  constexpr int kStepMs = 10;
+  constexpr int kRequestMs = 20;  // 50 requests a second
+  constexpr int kNewsMs = 100;
+  constexpr int kWindowMs = 5'000;
+  constexpr int kLengthMs = 30'000;
+  const TokenShare share = ShareOf(kRate, kBurst, kVms, true);
+  std::vector<double> tokens(kVms, share.m_capacity);
+  // What each VM knows of the others, one news late.
+  std::vector<PeerLevel> heard;
+  for (uint32_t vm = 0; vm < kVms; ++vm) {
+    heard.push_back({vm, 1, share.m_capacity, 0});
+  }
+  std::deque<int> admitted;
+  int total = 0;
+  double asked = 0;   // at VM 0 since its last news
+  double demand = 0;  // at VM 0
+  for (int now = 0; now < kLengthMs; now += kStepMs) {
+    for (double& level : tokens) {
+      level = std::min(share.m_capacity,
+                       level + share.m_rate_per_s * kStepMs / 1000);
+    }
+    if (now % kRequestMs == 0) {
+      asked += 1;
+      if (tokens[0] >= 1) {
+        tokens[0] -= 1;
+        admitted.push_back(now);
+        ++total;
+      }
+    }
+    if (now % kNewsMs == 0) {
+      demand = ExpectedDemand(demand, asked);
+      asked = 0;
+      std::vector<double> received(kVms, 0);
+      for (uint32_t giver = 0; giver < kVms; ++giver) {
+        std::vector<PeerLevel> peers = heard;
+        peers.erase(peers.begin() + giver);
+        for (const PlannedGrant& grant :
+             PlanGrants(tokens[giver], giver == 0 ? demand : 0,
+                        share.m_capacity, peers)) {
+          tokens[giver] -= grant.m_tokens;
+          received[grant.m_receiver.m_vm] += grant.m_tokens;
+        }
+      }
+      for (uint32_t vm = 0; vm < kVms; ++vm) {
+        heard[vm].m_tokens = tokens[vm];
+        heard[vm].m_demand = vm == 0 ? demand : 0;
+        tokens[vm] = std::min(share.m_capacity, tokens[vm] + received[vm]);
+      }
+    }
+    while (!admitted.empty() && admitted.front() <= now - kWindowMs) {
+      admitted.pop_front();
+    }
+    CHECK(static_cast<double>(admitted.size()) <=
+          kRate * kWindowMs / 1000 + kBurst);
+  }
+  CHECK(total > 0.9 * kRate * kLengthMs / 1000);
+  CHECK(total <= kRate * kLengthMs / 1000 + kBurst);
+}
+
+}  // namespace
+}  // namespace bronzecross
--- a/packages/quota/token_sharing.cc
+++ b/packages/quota/token_sharing.cc
@@ -5,18 +5,17 @@
 namespace bronzecross {
 namespace {
 
-// A VM below this part of its capacity is given tokens.
-constexpr double kNeedyBelow = 0.5;
+// A VM without demand is filled up to this part of its capacity.
+constexpr double kTarget = 0.5;
 
-// A VM gives only what it has above this part of its capacity.
-constexpr double kSpareAbove = 0.5;
+// Part of a peer's distance from its target that one round of grants corrects.
+constexpr double kLevelGain = 0.5;
 
-// A receiver is filled up to this part of its capacity. Beyond it a grant could
-// overflow and be lost.
-constexpr double kFillTo = 0.9;
+// Smaller grants aren't worth their bytes, in tokens.
+constexpr double kLeastGrant = 0.05;
 
-// Smaller grants aren't worth a message, in tokens.
-constexpr double kLeastGrant = 0.1;
+// What is left of an expectation after one news without demand.
+constexpr double kDemandDecay = 0.7;
 
 // Bounds of the advice to come back. Callers honour up to a third of the time
 // that they have left, which is about five seconds.
@@ -41,61 +40,44 @@
 
 namespace {
 
-// Gives `spare` tokens to the receivers for which `wanted` is positive.
-// `givers` VMs do so at the same time.
-void Distribute(std::span<const PeerLevel> peers,
-                double (*wanted)(const PeerLevel&, double),
-                double capacity,
-                int givers,
-                double& spare,
-                std::vector<PlannedGrant>& grants) {
-  double total = 0;
-  for (const PeerLevel& peer : peers) {
-    total += std::max(wanted(peer, capacity), 0.0);
-  }
-  if (total <= 0 || spare < kLeastGrant) {
-    return;
-  }
-  const double part = std::min(1.0 / givers, spare / total);
-  for (const PeerLevel& peer : peers) {
-    const double amount =
-        std::min(spare, std::max(wanted(peer, capacity), 0.0) * part);
-    if (amount >= kLeastGrant) {
-      grants.push_back({peer, amount});
-      spare -= amount;
-    }
-  }
+// Tokens that a peer should get until its next news. What its callers ask for
+// counts in full. Its level counts in part only, since it is as old as the
+// grants that answered the news before.
+double Wanted(const PeerLevel& peer, double capacity) {
+  const double wanted =
+      peer.m_demand + (capacity * kTarget - peer.m_tokens) * kLevelGain;
+  return std::clamp(wanted, 0.0, capacity);
 }
 
-double WantedForWaiting(const PeerLevel& peer, double) {
-  // One token more than wait, for those that arrive before the grant.
-  return peer.m_tokens < 0 ? 1 - peer.m_tokens : 0;
-}
-
-double WantedForReserve(const PeerLevel& peer, double capacity) {
-  const bool is_needy =
-      peer.m_tokens >= 0 && peer.m_tokens < capacity * kNeedyBelow;
-  return is_needy ? capacity * kFillTo - peer.m_tokens : 0;
-}
+}  // namespace
 
-int CountAbove(std::span<const PeerLevel> peers, double level) {
-  return static_cast<int>(std::count_if(
-      peers.begin(), peers.end(),
-      [level](const PeerLevel& peer) { return peer.m_tokens > level; }));
+double ExpectedDemand(double before, double asked) {
+  return std::max(asked, before * kDemandDecay);
 }
 
-}  // namespace
-
 std::vector<PlannedGrant> PlanGrants(double own,
+                                     double own_demand,
                                      double capacity,
                                      std::span<const PeerLevel> peers) {
   std::vector<PlannedGrant> grants;
-  double spare = own;
-  Distribute(peers, WantedForWaiting, capacity,
-             1 + CountAbove(peers, kLeastGrant), spare, grants);
-  spare -= capacity * kSpareAbove;
-  Distribute(peers, WantedForReserve, capacity,
-             1 + CountAbove(peers, capacity * kSpareAbove), spare, grants);
+  double spare = own - own_demand;
+  double wanted = 0;
+  int givers = 1;
+  for (const PeerLevel& peer : peers) {
+    wanted += Wanted(peer, capacity);
+    givers += peer.m_tokens - peer.m_demand > kLeastGrant ? 1 : 0;
+  }
+  if (wanted <= 0 || spare < kLeastGrant) {
+    return grants;
+  }
+  const double part = std::min(1.0 / givers, spare / wanted);
+  for (const PeerLevel& peer : peers) {
+    const double amount = std::min(spare, Wanted(peer, capacity) * part);
+    if (amount >= kLeastGrant) {
+      grants.push_back({peer, amount});
+      spare -= amount;
+    }
+  }
   return grants;
 }
 
--- a/packages/quota/token_sharing.h
+++ b/packages/quota/token_sharing.h
@@ -26,10 +26,15 @@
 // The share of one of `members` VMs. A VM that isn't entitled gets none.
 TokenShare ShareOf(double rate_per_s, double burst, int members, bool entitled);
 
+// Tokens that a VM expects its callers to ask for until its next news, from
+// those asked for since the last ones and the expectation before.
+double ExpectedDemand(double before, double asked);
+
 struct PeerLevel {
   uint32_t m_vm = 0;
   uint64_t m_sequence = 0;  // of the news that told of it
-  double m_tokens = 0;      // below zero: so many requests wait for a token
+  double m_tokens = 0;      // less the requests that wait for one
+  double m_demand = 0;      // as ExpectedDemand() gives it
 };
 
 struct PlannedGrant {
@@ -38,7 +43,9 @@
 };
 
 // What a VM with `own` tokens gives to its peers, whose levels it heard lately.
+// It keeps what its own callers are expected to ask for.
 std::vector<PlannedGrant> PlanGrants(double own,
+                                     double own_demand,
                                      double capacity,
                                      std::span<const PeerLevel> peers);
 
--- /dev/null
+++ b/standins/platform_replica_standin.h
@@ -0,0 +1,87 @@
+// Stand-in for one replica on the platform: runs requests, streams events,
+// states what it didn't run, and misbehaves on demand. Its answers depend on
+// the request's id only, so that callers can check them.
+
+#ifndef BRONZECROSS_STANDINS_PLATFORM_REPLICA_STANDIN_H_
+#define BRONZECROSS_STANDINS_PLATFORM_REPLICA_STANDIN_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/synchronization/mutex.h>
+
+#include "standins/platform_store_standin.h"
+
+namespace bronzecross {
+
+struct PlatformReplicaOptions {
+  std::string m_id = "i-1";
+  std::string m_service = "engine";
+  std::string m_zone = "zone-a";
+  int m_slots = 8;
+  int m_events = 5;  // of a stream
+  Millis m_event_gap{5};
+};
+
+struct PlatformReplicaFaults {
+  bool m_refuse = false;          // every request is refused as not run
+  int m_break_after = -1;         // streams end after so many events, cut
+  int m_breaks_left = 1'000'000;  // so many requests are cut
+  bool m_unsigned = false;        // answers lack the signature
+  int m_fail_status = 0;          // answers have this status
+  bool m_silent = false;          // requests get no answer for some seconds
+};
+
+// A request that the replica ran.
+struct ReplicaRun {
+  std::string m_request_id;
+  std::string m_path;
+  std::string m_body;
+  std::string m_workspace;
+  std::string m_authorization;
+  int64_t m_resume_after = 0;
+  int64_t m_deadline_ms = -1;
+};
+
+class PlatformReplicaStandin {
+ public:
+  // Registers itself in `store`.
+  PlatformReplicaStandin(PlatformStoreStandin& store,
+                         PlatformReplicaOptions options);
+  ~PlatformReplicaStandin();
+
+  void SetFaults(const PlatformReplicaFaults& faults);
+  // Writes its entry with the given state.
+  void Register(std::string_view state);
+  void Unregister();
+  // Ends as a crash does; the entry stays.
+  void Crash();
+
+  std::vector<ReplicaRun> Runs();
+
+  // The data of event `index`, counted from 1, of a request's stream.
+  static std::string EventData(std::string_view request_id, int64_t index);
+  // The answer to a plain request.
+  static std::string PlainBody(std::string_view request_id);
+
+ private:
+  HttpReply Handle(HttpRequest& request);
+  HttpReply Stream(const HttpRequest& request,
+                   const std::string& id,
+                   int64_t resume_after,
+                   bool cut,
+                   int cut_after);
+
+  PlatformStoreStandin& m_store;
+  const PlatformReplicaOptions m_options;
+  absl::Mutex m_mutex;
+  PlatformReplicaFaults m_faults ABSL_GUARDED_BY(m_mutex);
+  std::vector<ReplicaRun> m_runs ABSL_GUARDED_BY(m_mutex);
+  StandinServer m_server;
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_STANDINS_PLATFORM_REPLICA_STANDIN_H_
--- /dev/null
+++ b/tests/harness/gateway_cluster.cc
@@ -0,0 +1,240 @@
+#include "harness/gateway_cluster.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "base/base64.h"
+#include "base/text.h"
+#include "harness/cluster.h"
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kStartTimeout{20'000};
+constexpr Millis kCallTimeout{15'000};
+
+// Ports of the first VM; below those that the system hands out.
+constexpr int kFirstPort = 20'000;
+constexpr int kPortsOfVm = 10;
+
+// A loopback address of this process alone, so that tests that run at the same
+// time can't take one another's ports.
+std::string OwnLoopbackIp() {
+  const int pid = getpid();
+  return Concat("127.", 16 + ((pid >> 16) & 0x3f), ".", (pid >> 8) & 0xff, ".",
+                pid & 0xff);
+}
+
+std::string MakeFolder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "bronzecross-gw-XXXXXX")
+          .string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    std::fprintf(stderr, "gateway cluster: cannot make a folder\n");
+    std::abort();
+  }
+  return pattern;
+}
+
+json MakeRoute(const std::string& name,
+               const std::string& prefix,
+               const std::string& kind,
+               bool resumable) {
+  return {{"name", name},    {"host", "gateway.test"}, {"prefix", prefix},
+          {"kind", kind},    {"timeoutMs", 8'000},     {"targetLatencyMs", 600},
+          {"priority", 0},   {"service", "engine"},    {"maxAttempts", 3},
+          {"public", false}, {"sticky", false},        {"resumable", resumable},
+          {"gapAimMs", 500}};
+}
+
+json MakeConfig(const GatewayClusterOptions& options) {
+  json config;
+  config["version"] = 1;
+  config["routes"] = {
+      MakeRoute("plain", "/plain/", "idempotent", false),
+      MakeRoute("once", "/once/", "non_idempotent", false),
+      MakeRoute("stream", "/stream/", "streaming", false),
+      MakeRoute("resume", "/resume/", "streaming", true),
+  };
+  json batch = MakeRoute("batch", "/batch/", "bulk", false);
+  batch["dueMs"] = 20'000;
+  batch["retentionS"] = 60;
+  batch["cap"] = 1'000'000;
+  config["routes"].push_back(batch);
+  config["services"] = {{{"name", "engine"},
+                         {"healthPath", "/health"},
+                         {"maxConns", 100},
+                         {"engine", json::object()}}};
+  config["limits"] = {{"maxHeaderBytes", 16'384},
+                      {"maxBodyBytes", 1'000'000},
+                      {"headerTimeoutMs", 3'000},
+                      {"idleTimeoutMs", 15'000}};
+  config["tenants"] = {{{"name", "ws-a"},
+                        {"apiKeys", {"key-a"}},
+                        {"ratePerS", options.m_rate_per_s},
+                        {"burst", options.m_burst}},
+                       {{"name", "ws-b"}, {"apiKeys", {"key-b"}}}};
+  return config;
+}
+
+}  // namespace
+
+GatewayCluster::GatewayCluster(GatewayClusterOptions options)
+    : m_options(std::move(options)),
+      m_folder(MakeFolder()),
+      m_ip(OwnLoopbackIp()),
+      m_config(MakeConfig(m_options)) {
+  for (int i = 0; i < m_options.m_engines; ++i) {
+    PlatformReplicaOptions engine = m_options.m_engine;
+    engine.m_id = Concat("i-", i);
+    m_engines.push_back(
+        std::make_unique<PlatformReplicaStandin>(m_store, engine));
+  }
+  Publish();
+  for (int i = 0; i < m_options.m_vms; ++i) {
+    std::unique_ptr<struct Vm> vm = std::make_unique<struct Vm>();
+    vm->m_folder = Concat(m_folder, "/vm-", i);
+    std::filesystem::create_directories(vm->m_folder);
+    const int first = kFirstPort + i * kPortsOfVm;
+    vm->m_callers = first;
+    vm->m_readiness = first + 1;
+    vm->m_peers = first + 2;
+    vm->m_bootstrap = first + 3;
+    vm->m_metrics = first + 4;
+    if (m_options.m_store_proxies) {
+      vm->m_store_proxy = std::make_unique<FaultProxy>(m_store.Address());
+    }
+    m_vms.push_back(std::move(vm));
+  }
+  for (size_t i = 0; i < m_vms.size(); ++i) {
+    StartVm(i);
+  }
+  for (size_t i = 0; i < m_vms.size(); ++i) {
+    WaitReady(i);
+  }
+}
+
+GatewayCluster::~GatewayCluster() {
+  for (const std::unique_ptr<struct Vm>& vm : m_vms) {
+    vm->m_process.Kill();
+  }
+  if (std::getenv("BRONZECROSS_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(m_folder);
+  }
+}
+
+void GatewayCluster::Publish() {
+  m_store.Put("op/config", m_config.dump());
+}
+
+std::string GatewayCluster::LogOf(size_t vm) const {
+  std::ifstream file(Concat(m_vms[vm]->m_folder, "/log"));
+  return std::string(std::istreambuf_iterator<char>(file),
+                     std::istreambuf_iterator<char>());
+}
+
+void GatewayCluster::WriteSettings(size_t index) {
+  const struct Vm& vm = *m_vms[index];
+  const NetAddress store = vm.m_store_proxy != nullptr
+                               ? vm.m_store_proxy->Address()
+                               : m_store.Address();
+  std::ofstream file(Concat(vm.m_folder, "/settings.toml"));
+  file << "[vm]\nid = \"vm-" << index << "\"\navailability_zone = \"zone-a\"\n"
+       << "[listen]\ncallers = \"" << m_ip << ":" << vm.m_callers << "\"\n"
+       << "readiness = \"" << m_ip << ":" << vm.m_readiness << "\"\n"
+       << "peers = \"" << m_ip << ":" << vm.m_peers << "\"\n"
+       << "bootstrap = \"" << m_ip << ":" << vm.m_bootstrap << "\"\n"
+       << "metrics = \"" << m_ip << ":" << vm.m_metrics << "\"\n"
+       << "[store]\naddress = \"" << store.ToString() << "\"\n"
+       << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
+       << "\"]\n"
+       << "[limits]\ndrain_limit_ms = 8000\n";
+}
+
+void GatewayCluster::StartVm(size_t index) {
+  WriteSettings(index);
+  struct Vm& vm = *m_vms[index];
+  vm.m_process.Start({BRONZECROSS_DAEMON, "--role", "gateway", "--settings",
+                      Concat(vm.m_folder, "/settings.toml")},
+                     Concat(vm.m_folder, "/log"));
+}
+
+bool GatewayCluster::IsReady(size_t vm) {
+  HttpCall call;
+  call.m_url =
+      Concat("http://", m_ip, ":", m_vms[vm]->m_readiness, "/api/readiness");
+  const Result<HttpAnswer> answer = m_http.Call(call);
+  return answer && answer->m_status == 200;
+}
+
+void GatewayCluster::WaitReady(size_t vm) {
+  if (!WaitFor([&] { return IsReady(vm); }, kStartTimeout)) {
+    std::fprintf(stderr, "gateway cluster: vm %zu is not ready\n%s\n", vm,
+                 LogOf(vm).c_str());
+    std::abort();
+  }
+}
+
+HttpAnswer GatewayCluster::Call(const GatewayRequest& request) {
+  HttpCall call;
+  call.m_method = request.m_method;
+  call.m_url = Concat("http://", m_ip, ":", m_vms[request.m_vm]->m_callers,
+                      request.m_target);
+  call.m_headers = request.m_headers;
+  call.m_headers.push_back({"Host", "gateway.test"});
+  if (!request.m_id.empty()) {
+    call.m_headers.push_back({"Request-Id", request.m_id});
+  }
+  if (!request.m_key.empty()) {
+    call.m_headers.push_back(
+        {"Authorization", Concat("Bearer ", request.m_key)});
+  }
+  call.m_headers.push_back({"Deadline-Ms", Concat(request.m_deadline_ms)});
+  call.m_body = request.m_body;
+  call.m_timeout = kCallTimeout;
+  call.m_fresh_connection = true;
+  Result<HttpAnswer> answer = m_http.Call(call);
+  return answer ? *std::move(answer) : HttpAnswer();
+}
+
+std::string GatewayCluster::JobBody(std::string_view job, int items) {
+  json body;
+  body["items"] = json::array();
+  for (int i = 0; i < items; ++i) {
+    body["items"].push_back({{"id", Concat(job, "-item-", i)},
+                             {"path", "/batch/stream"},
+                             {"headers", {{"Model", "m"}}},
+                             {"body", Base64Encode(Concat("body ", i))},
+                             {"tokens", 100}});
+  }
+  return body.dump();
+}
+
+json GatewayCluster::WaitForResults(int vm,
+                                    const std::string& job,
+                                    Millis timeout) {
+  json last;
+  WaitFor(
+      [&] {
+        GatewayRequest request;
+        request.m_vm = vm;
+        request.m_method = "GET";
+        request.m_target = Concat("/api/lots/", job, "?after=0");
+        request.m_body = "";
+        request.m_headers = {{"Wait-Ms", "200"}};
+        const HttpAnswer answer = Call(request);
+        last = json::parse(answer.m_body, nullptr, false);
+        return answer.m_status == 200 && last.is_object() &&
+               last.value("total", -1) == last.value("next", 0);
+      },
+      timeout);
+  return last;
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/tests/harness/gateway_cluster.h
@@ -0,0 +1,99 @@
+// Real gateway processes among in-process stand-ins of the platform, on
+// 127.0.0.1.
+
+#ifndef BRONZECROSS_TESTS_HARNESS_GATEWAY_CLUSTER_H_
+#define BRONZECROSS_TESTS_HARNESS_GATEWAY_CLUSTER_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "harness/child_process.h"
+#include "http/http_client.h"
+#include "standins/fault_proxy.h"
+#include "standins/platform_replica_standin.h"
+#include "standins/platform_store_standin.h"
+
+namespace bronzecross {
+
+struct GatewayClusterOptions {
+  int m_vms = 2;
+  int m_engines = 2;
+  PlatformReplicaOptions m_engine;
+  double m_rate_per_s = 0;  // of the workspace; 0: no limit
+  double m_burst = 0;
+  // Stands a proxy between each VM and the store.
+  bool m_store_proxies = false;
+};
+
+// A caller's request to one VM.
+struct GatewayRequest {
+  int m_vm = 0;
+  std::string m_method = "POST";
+  std::string m_target;
+  std::string m_id;
+  std::string m_key = "key-a";  // empty: none is sent
+  std::string m_body = "question";
+  std::vector<HttpHeader> m_headers;
+  int64_t m_deadline_ms = 5'000;
+};
+
+class GatewayCluster {
+ public:
+  // Starts everything and waits until all VMs are ready.
+  explicit GatewayCluster(GatewayClusterOptions options);
+  ~GatewayCluster();
+  GatewayCluster(const GatewayCluster&) = delete;
+  GatewayCluster& operator=(const GatewayCluster&) = delete;
+
+  PlatformStoreStandin& Store() { return m_store; }
+  PlatformReplicaStandin& Engine(size_t index) { return *m_engines[index]; }
+  ChildProcess& Vm(size_t index) { return m_vms[index]->m_process; }
+  FaultProxy& StoreProxy(size_t index) { return *m_vms[index]->m_store_proxy; }
+  std::string LogOf(size_t vm) const;
+
+  // The operator's configuration; change it, then call Publish().
+  nlohmann::json& Config() { return m_config; }
+  void Publish();
+
+  // Status 0: no whole answer came.
+  HttpAnswer Call(const GatewayRequest& request);
+  // Whether the VM tells the load balancer that it is ready.
+  bool IsReady(size_t vm);
+  void StartVm(size_t vm);
+  void WaitReady(size_t vm);
+
+  // The body of a submission of `items` items of the path /batch/stream.
+  static std::string JobBody(std::string_view job, int items);
+  // Reads a job's results until all are listed or `timeout` passes.
+  nlohmann::json WaitForResults(int vm, const std::string& job, Millis timeout);
+
+ private:
+  struct Vm {
+    std::string m_folder;
+    int m_callers = 0;
+    int m_readiness = 0;
+    int m_peers = 0;
+    int m_bootstrap = 0;
+    int m_metrics = 0;
+    std::unique_ptr<FaultProxy> m_store_proxy;
+    ChildProcess m_process;
+  };
+
+  void WriteSettings(size_t vm);
+
+  GatewayClusterOptions m_options;
+  std::string m_folder;
+  std::string m_ip;
+  nlohmann::json m_config;
+  PlatformStoreStandin m_store;
+  std::vector<std::unique_ptr<PlatformReplicaStandin>> m_engines;
+  std::vector<std::unique_ptr<struct Vm>> m_vms;
+  HttpClient m_http;
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_TESTS_HARNESS_GATEWAY_CLUSTER_H_
--- /dev/null
+++ b/tests/integration/gateway_jobs_test.cc
@@ -0,0 +1,207 @@
+// Batch jobs on the gateway under faults, with real processes among stand-ins
+// of the platform.
+
+#include <doctest/doctest.h>
+
+#include <signal.h>
+
+#include <set>
+
+#include "base/text.h"
+#include "harness/cluster.h"
+#include "harness/gateway_cluster.h"
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kJobTimeout{25'000};
+
+GatewayRequest Submission(const std::string& job, int items, int vm) {
+  GatewayRequest request;
+  request.m_vm = vm;
+  request.m_target = "/batch/jobs";
+  request.m_id = job;
+  request.m_body = GatewayCluster::JobBody(job, items);
+  return request;
+}
+
+std::string WholeOutput(const std::string& item, int events) {
+  std::string output;
+  for (int i = 1; i <= events; ++i) {
+    AppendTo(output, i == 1 ? "" : "\n",
+             PlatformReplicaStandin::EventData(item, i));
+  }
+  return output;
+}
+
+// Every item is there once, completed, with its whole output.
+void CheckResults(const json& page,
+                  const std::string& job,
+                  int items,
+                  int events) {
+  REQUIRE(page.is_object());
+  CHECK(page["total"] == items);
+  REQUIRE(page["results"].size() == static_cast<size_t>(items));
+  std::set<std::string> seen;
+  for (const json& result : page["results"]) {
+    const std::string item = result["id"].get<std::string>();
+    CHECK(item.starts_with(job));
+    CHECK(seen.insert(item).second);
+    CHECK(result["state"] == "completed");
+    CHECK(result["output"] == WholeOutput(item, events));
+  }
+}
+
+TEST_CASE("a job runs whole and reads alike at every VM") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  CHECK(cluster.Call(Submission("job1", 6, 0)).m_status == 202);
+  const json at_other = cluster.WaitForResults(1, "job1", kJobTimeout);
+  CheckResults(at_other, "job1", 6, 5);
+  CHECK(cluster.WaitForResults(0, "job1", kJobTimeout) == at_other);
+  // Repeats are accepted and change nothing.
+  CHECK(cluster.Call(Submission("job1", 6, 1)).m_status == 202);
+  CHECK(cluster.WaitForResults(1, "job1", kJobTimeout) == at_other);
+  GatewayRequest unknown;
+  unknown.m_method = "GET";
+  unknown.m_target = "/api/lots/nothing?after=0";
+  unknown.m_body = "";
+  CHECK(cluster.Call(unknown).m_status == 404);
+  unknown.m_target = "/api/lots/job1?after=0";
+  unknown.m_key = "key-b";
+  CHECK(cluster.Call(unknown).m_status == 404);
+}
+
+TEST_CASE("a job whose acceptance lost its reply is accepted once") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformStoreFaults faults;
+  faults.m_lose_replies = 1;
+  cluster.Store().SetFaults(faults);
+  CHECK(cluster.Call(Submission("job1", 3, 0)).m_status == 202);
+  CheckResults(cluster.WaitForResults(1, "job1", kJobTimeout), "job1", 3, 5);
+}
+
+TEST_CASE("a job that the store refuses is refused as not run") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformStoreFaults faults;
+  faults.m_refuse = true;
+  cluster.Store().SetFaults(faults);
+  CHECK(cluster.Call(Submission("job1", 3, 0)).m_status == 503);
+  cluster.Store().SetFaults(PlatformStoreFaults());
+  SleepFor(Millis(1'500));
+  CHECK(cluster.Store().Count("bx/job/job1") == 0);
+  CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() == 0);
+}
+
+TEST_CASE("a job goes on after its VM was killed, and results stay") {
+  GatewayClusterOptions options;
+  options.m_vms = 3;
+  options.m_engine.m_events = 60;
+  options.m_engine.m_event_gap = Millis(30);
+  GatewayCluster cluster(options);
+  CHECK(cluster.Call(Submission("job1", 24, 0)).m_status == 202);
+  json first;
+  CHECK(WaitFor(
+      [&] {
+        GatewayRequest read;
+        read.m_vm = 1;
+        read.m_method = "GET";
+        read.m_target = "/api/lots/job1?after=0";
+        read.m_body = "";
+        first = json::parse(cluster.Call(read).m_body, nullptr, false);
+        return first.is_object() && first.value("next", 0) > 0;
+      },
+      kJobTimeout));
+  cluster.Vm(0).Kill();
+  const json last = cluster.WaitForResults(1, "job1", kJobTimeout);
+  CheckResults(last, "job1", 24, 60);
+  for (size_t i = 0; i < first["results"].size(); ++i) {
+    CHECK(last["results"][i] == first["results"][i]);
+  }
+}
+
+TEST_CASE("all VMs killed at once lose no accepted job") {
+  GatewayClusterOptions options;
+  options.m_engine.m_events = 40;
+  options.m_engine.m_event_gap = Millis(30);
+  GatewayCluster cluster(options);
+  CHECK(cluster.Call(Submission("job1", 4, 0)).m_status == 202);
+  cluster.Vm(0).Kill();
+  cluster.Vm(1).Kill();
+  cluster.StartVm(0);
+  cluster.StartVm(1);
+  cluster.WaitReady(1);
+  CheckResults(cluster.WaitForResults(1, "job1", kJobTimeout), "job1", 4, 40);
+}
+
+TEST_CASE("an ended job stops, and stays ended after its VM was killed") {
+  GatewayClusterOptions options;
+  options.m_engine.m_events = 400;
+  options.m_engine.m_event_gap = Millis(30);
+  GatewayCluster cluster(options);
+  CHECK(cluster.Call(Submission("job1", 4, 0)).m_status == 202);
+  GatewayRequest end;
+  end.m_vm = 1;
+  end.m_method = "DELETE";
+  end.m_target = "/api/lots/job1";
+  end.m_body = "";
+  CHECK(cluster.Call(end).m_status == 200);
+  CHECK(cluster.Call(end).m_status == 200);
+  SleepFor(Millis(600));
+  const size_t runs =
+      cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size();
+  cluster.Vm(0).Kill();
+  SleepFor(Millis(5'000));
+  CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() ==
+        runs);
+  CHECK(cluster.Store().Count("bx/open/") == 0);
+}
+
+TEST_CASE("bodies can be read until their item is listed") {
+  GatewayClusterOptions options;
+  options.m_engine.m_events = 100;
+  options.m_engine.m_event_gap = Millis(20);
+  GatewayCluster cluster(options);
+  CHECK(cluster.Call(Submission("job1", 2, 0)).m_status == 202);
+  GatewayRequest body;
+  body.m_vm = 1;
+  body.m_method = "GET";
+  body.m_target = "/api/items/job1?id=job1-item-1";
+  body.m_body = "";
+  const HttpAnswer answer = cluster.Call(body);
+  CHECK(answer.m_status == 200);
+  CHECK(answer.m_body == "body 1");
+  cluster.WaitForResults(0, "job1", kJobTimeout);
+  CHECK(cluster.Call(body).m_status == 404);
+}
+
+TEST_CASE("an item that can never be done is given up, and its job ends") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformReplicaFaults faults;
+  faults.m_fail_status = 422;
+  cluster.Engine(0).SetFaults(faults);
+  cluster.Engine(1).SetFaults(faults);
+  CHECK(cluster.Call(Submission("job1", 2, 0)).m_status == 202);
+  const json page = cluster.WaitForResults(0, "job1", kJobTimeout);
+  REQUIRE(page["results"].size() == 2);
+  CHECK(page["results"][0]["state"] == "abandoned");
+  CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() == 2);
+}
+
+TEST_CASE("a workspace over its cap is told when to come back") {
+  GatewayClusterOptions options;
+  options.m_engine.m_events = 100;
+  GatewayCluster cluster(options);
+  cluster.Config()["version"] = 2;
+  cluster.Config()["routes"][4]["cap"] = 250;
+  cluster.Publish();
+  SleepFor(Millis(600));
+  CHECK(cluster.Call(Submission("job1", 2, 0)).m_status == 202);
+  const HttpAnswer answer = cluster.Call(Submission("job2", 2, 0));
+  CHECK(answer.m_status == 429);
+  CHECK(!FindHeader(answer.m_headers, "Retry-After").empty());
+}
+
+}  // namespace
+}  // namespace bronzecross
--- /dev/null
+++ b/tests/integration/gateway_path_test.cc
@@ -0,0 +1,277 @@
+// The gateway's path from callers to replicas and back, with real processes
+// among stand-ins of the platform.
+
+#include <doctest/doctest.h>
+
+#include <signal.h>
+
+#include <thread>
+
+#include "base/text.h"
+#include "harness/cluster.h"
+#include "harness/gateway_cluster.h"
+
+namespace bronzecross {
+namespace {
+
+constexpr Millis kSpreadTimeout{10'000};
+
+GatewayRequest MakeRequest(const std::string& target, const std::string& id) {
+  GatewayRequest request;
+  request.m_target = target;
+  request.m_id = id;
+  return request;
+}
+
+std::string WholeStream(const std::string& id, int events) {
+  std::string body;
+  for (int i = 1; i <= events; ++i) {
+    AppendTo(body, "id: ", i,
+             "\ndata: ", PlatformReplicaStandin::EventData(id, i), "\n\n");
+  }
+  return body;
+}
+
+size_t CountRuns(GatewayCluster& cluster, int engines, const std::string& id) {
+  size_t count = 0;
+  for (int i = 0; i < engines; ++i) {
+    for (const ReplicaRun& run : cluster.Engine(i).Runs()) {
+      count += run.m_request_id == id ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+TEST_CASE("callers get the replica's own answers; keys stay here") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  const HttpAnswer plain = cluster.Call(MakeRequest("/plain/x?y=1", "r1"));
+  CHECK(plain.m_status == 200);
+  CHECK(plain.m_body == PlatformReplicaStandin::PlainBody("r1"));
+  CHECK(FindHeader(plain.m_headers, "Server-Stamp").starts_with("stamp-"));
+  const HttpAnswer stream = cluster.Call(MakeRequest("/stream/x", "r2"));
+  CHECK(stream.m_status == 200);
+  CHECK(stream.m_body == WholeStream("r2", 5));
+
+  bool seen = false;
+  for (size_t i = 0; i < 2; ++i) {
+    for (const ReplicaRun& run : cluster.Engine(i).Runs()) {
+      CHECK(run.m_authorization.empty());
+      CHECK(run.m_workspace == "ws-a");
+      CHECK(run.m_body == "question");
+      CHECK(run.m_deadline_ms > 0);
+      CHECK(run.m_deadline_ms <= 5'000);
+      seen = true;
+    }
+  }
+  CHECK(seen);
+}
+
+TEST_CASE("unknown routes and keys are refused") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  CHECK(cluster.Call(MakeRequest("/nowhere/x", "r1")).m_status == 404);
+  GatewayRequest request = MakeRequest("/plain/x", "r2");
+  request.m_key = "key-wrong";
+  CHECK(cluster.Call(request).m_status == 401);
+  request.m_key = "";
+  CHECK(cluster.Call(request).m_status == 401);
+  CHECK(CountRuns(cluster, 2, "r2") == 0);
+}
+
+TEST_CASE(
+    "a new configuration is in force on all VMs, an older one never again") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  cluster.Config()["version"] = 5;
+  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
+  cluster.Publish();
+  for (int vm = 0; vm < 2; ++vm) {
+    GatewayRequest request = MakeRequest("/plain/x", Concat("r", vm));
+    request.m_vm = vm;
+    request.m_key = "key-new";
+    CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
+                  kSpreadTimeout));
+    request.m_key = "key-a";
+    CHECK(cluster.Call(request).m_status == 401);
+  }
+  cluster.Config()["version"] = 4;
+  cluster.Config()["tenants"][0]["apiKeys"] = {"key-a"};
+  cluster.Publish();
+  SleepFor(Millis(500));
+  GatewayRequest old = MakeRequest("/plain/x", "r9");
+  CHECK(cluster.Call(old).m_status == 401);
+}
+
+TEST_CASE("a request that a replica did not run goes to another one") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformReplicaFaults faults;
+  faults.m_refuse = true;
+  cluster.Engine(0).SetFaults(faults);
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = Concat("r", i);
+    CHECK(cluster.Call(MakeRequest("/once/x", id)).m_status == 200);
+    CHECK(CountRuns(cluster, 2, id) == 1);
+  }
+}
+
+TEST_CASE("a non-idempotent request whose answer broke is not run again") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformReplicaFaults faults;
+  faults.m_break_after = 0;
+  cluster.Engine(0).SetFaults(faults);
+  cluster.Engine(1).SetFaults(faults);
+  const HttpAnswer answer = cluster.Call(MakeRequest("/once/x", "r1"));
+  CHECK(answer.m_status == 502);
+  CHECK(CountRuns(cluster, 2, "r1") == 1);
+  // An idempotent one may run again elsewhere, up to its attempts.
+  CHECK(cluster.Call(MakeRequest("/plain/x", "r2")).m_status == 502);
+  CHECK(CountRuns(cluster, 2, "r2") == 3);
+}
+
+TEST_CASE("a broken stream is resumed where it may be, and never joined") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformReplicaFaults faults;
+  faults.m_break_after = 2;
+  faults.m_breaks_left = 1;
+  cluster.Engine(0).SetFaults(faults);
+  cluster.Engine(1).SetFaults(faults);
+  const HttpAnswer resumed = cluster.Call(MakeRequest("/resume/stream", "r1"));
+  CHECK(resumed.m_status == 200);
+  CHECK(resumed.m_body == WholeStream("r1", 5));
+  cluster.Engine(0).SetFaults(faults);
+  cluster.Engine(1).SetFaults(faults);
+  // Not resumable: the answer ends visibly incomplete.
+  CHECK(cluster.Call(MakeRequest("/stream/x", "r2")).m_status == 0);
+  CHECK(CountRuns(cluster, 2, "r2") == 1);
+}
+
+TEST_CASE("an answer without the replica's signature is not passed on") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformReplicaFaults faults;
+  faults.m_unsigned = true;
+  cluster.Engine(0).SetFaults(faults);
+  cluster.Engine(1).SetFaults(faults);
+  CHECK(cluster.Call(MakeRequest("/once/x", "r1")).m_status == 502);
+}
+
+TEST_CASE("a leaving replica gets no new requests") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  cluster.Engine(0).Register("draining");
+  cluster.Engine(1).Unregister();
+  // Nothing is left that takes requests: refused at once, with advice.
+  GatewayRequest request = MakeRequest("/once/x", "r1");
+  request.m_deadline_ms = 400;
+  CHECK(WaitFor(
+      [&] {
+        const HttpAnswer answer = cluster.Call(request);
+        return answer.m_status == 503 &&
+               !FindHeader(answer.m_headers, "Retry-After").empty();
+      },
+      kSpreadTimeout));
+  const size_t before =
+      cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size();
+  cluster.Call(request);
+  CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() ==
+        before);
+}
+
+TEST_CASE("entries that can't be used name no replica and end no process") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  for (const char* entry :
+       {"", "{", "[]", "{\"service\":5}", "{\"service\":\"engine\"}",
+        "{\"service\":\"engine\",\"address\":\"nowhere\",\"state\":\"ready\","
+        "\"slots\":8}",
+        "{\"service\":\"engine\",\"address\":\"127.0.0.1:1\",\"state\":\"odd\","
+        "\"slots\":8}",
+        "\xff\xfe\x00\x01"}) {
+    cluster.Store().Put(Concat("servers/bad-", std::string(entry).size()),
+                        entry);
+  }
+  cluster.Store().Put("op/config", "{\"version\":\"x\"}");
+  SleepFor(Millis(400));
+  for (int i = 0; i < 6; ++i) {
+    CHECK(cluster.Call(MakeRequest("/once/x", Concat("r", i))).m_status == 200);
+  }
+}
+
+TEST_CASE("a VM that the store turns away learns through its peers") {
+  GatewayClusterOptions options;
+  options.m_store_proxies = true;
+  GatewayCluster cluster(options);
+  ProxyFaults faults;
+  faults.m_refuse = true;
+  cluster.StoreProxy(0).SetFaults(faults);
+  cluster.StoreProxy(0).CutAll();
+  cluster.Config()["version"] = 9;
+  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
+  cluster.Publish();
+  GatewayRequest request = MakeRequest("/plain/x", "r1");
+  request.m_key = "key-new";
+  CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
+                kSpreadTimeout));
+}
+
+// The store may keep a watch open and tell nothing on it (hunt on cbes-gtd, mix
+// --seed 568653566410): the VM served an old configuration for 28 s.
+TEST_CASE("a VM whose watches tell nothing learns of changes from its peers") {
+  GatewayClusterOptions options;
+  options.m_store_proxies = true;
+  GatewayCluster cluster(options);
+  PlatformStoreFaults faults;
+  faults.m_deaf_watches = 3;
+  cluster.Store().SetFaults(faults);
+  cluster.StoreProxy(0).CutAll();
+  SleepFor(Millis(1'000));
+  cluster.Config()["version"] = 9;
+  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
+  cluster.Publish();
+  GatewayRequest request = MakeRequest("/plain/x", "r1");
+  request.m_key = "key-new";
+  CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
+                kSpreadTimeout));
+}
+
+TEST_CASE("a store outage does not stop online requests") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformStoreFaults faults;
+  faults.m_refuse = true;
+  cluster.Store().SetFaults(faults);
+  SleepFor(Millis(4'000));
+  for (int i = 0; i < 6; ++i) {
+    CHECK(cluster.Call(MakeRequest("/plain/x", Concat("r", i))).m_status ==
+          200);
+  }
+  cluster.Store().SetFaults(PlatformStoreFaults());
+}
+
+TEST_CASE("SIGTERM: not ready, requests are served to their end, exit 0") {
+  GatewayClusterOptions options;
+  options.m_engine.m_events = 40;
+  options.m_engine.m_event_gap = Millis(30);
+  GatewayCluster cluster(options);
+  HttpAnswer answer;
+  std::thread caller(
+      [&] { answer = cluster.Call(MakeRequest("/stream/x", "r1")); });
+  CHECK(WaitFor([&] { return CountRuns(cluster, 2, "r1") == 1; },
+                kSpreadTimeout));
+  cluster.Vm(0).Signal(SIGTERM);
+  CHECK(WaitFor([&] { return !cluster.IsReady(0); }, kSpreadTimeout));
+  caller.join();
+  CHECK(answer.m_status == 200);
+  CHECK(answer.m_body == WholeStream("r1", 40));
+  CHECK(cluster.Vm(0).Wait(Millis(10'000)) == 0);
+  CHECK(cluster.IsReady(1));
+}
+
+TEST_CASE("SIGHUP reads the settings again and a faulty file changes nothing") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  cluster.Vm(0).Signal(SIGHUP);
+  CHECK(WaitFor(
+      [&] {
+        return cluster.LogOf(0).find("Read the settings again.") !=
+               std::string::npos;
+      },
+      kSpreadTimeout));
+  CHECK(cluster.Call(MakeRequest("/plain/x", "r1")).m_status == 200);
+}
+
+}  // namespace
+}  // namespace bronzecross
