Switch store calls to a relay within the usual reply time; probe an absent store once

In an outage of the store for all, every follower and writer of every VM called it several times a second, and such calls are priced.

--- a/packages/cluster/peer_news.cc
+++ b/packages/cluster/peer_news.cc
@@ -23,6 +23,7 @@
   kPosZone,
   kPosAddress,
   kPosSequence,
+  kPosReachesStore,
   kPosOperatorChange,
   kPosUpstreamChange,
   kPosUses,
@@ -100,13 +101,13 @@
   for (const JobNews& job : news.m_jobs) {
     jobs.insert(jobs.end(), {json(job.m_job), json(job.m_open)});
   }
-  const json message =
-      json::array({kLayout, news.m_sender.m_id, news.m_sender.m_incarnation,
-                   news.m_sender.m_zone, news.m_sender.m_address.ToString(),
-                   news.m_sequence, news.m_operator_change,
-                   news.m_upstream_change, std::move(uses), std::move(levels),
-                   std::move(grants), std::move(backlogs), std::move(waiting),
-                   std::move(queues), std::move(jobs)});
+  const json message = json::array(
+      {kLayout, news.m_sender.m_id, news.m_sender.m_incarnation,
+       news.m_sender.m_zone, news.m_sender.m_address.ToString(),
+       news.m_sequence, news.m_reaches_store, news.m_operator_change,
+       news.m_upstream_change, std::move(uses), std::move(levels),
+       std::move(grants), std::move(backlogs), std::move(waiting),
+       std::move(queues), std::move(jobs)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -118,6 +119,7 @@
       message[kPosLayout] != kLayout || !message[kPosVm].is_string() ||
       !message[kPosIncarnation].is_number() ||
       !message[kPosSequence].is_number() || !message[kPosJobs].is_array() ||
+      !message[kPosReachesStore].is_boolean() ||
       !message[kPosOperatorChange].is_number_integer() ||
       !message[kPosUpstreamChange].is_number_integer() ||
       !message[kPosZone].is_string() || !message[kPosAddress].is_string()) {
@@ -144,6 +146,7 @@
   news.m_sender.m_zone = message[kPosZone].get<std::string>();
   news.m_sender.m_address = *std::move(address);
   news.m_sequence = message[kPosSequence].get<uint64_t>();
+  news.m_reaches_store = message[kPosReachesStore].get<bool>();
   news.m_operator_change = message[kPosOperatorChange].get<int64_t>();
   news.m_upstream_change = message[kPosUpstreamChange].get<int64_t>();
   for (size_t i = 0; i < uses.Count(); ++i) {
--- a/packages/cluster/peer_news.h
+++ b/packages/cluster/peer_news.h
@@ -66,7 +66,8 @@
 
 struct PeerNews {
   VmRecord m_sender;
-  uint64_t m_sequence = 0;  // rises with each news of one incarnation
+  uint64_t m_sequence = 0;       // rises with each news of one incarnation
+  bool m_reaches_store = false;  // directly
   // Revisions of the last changes that the sender has seen.
   int64_t m_operator_change = 0;  // of what operators write
   int64_t m_upstream_change = 0;  // of the list of upstreams
--- a/packages/gateway/news_exchange.cc
+++ b/packages/gateway/news_exchange.cc
@@ -38,6 +38,7 @@
   PeerNews news;
   news.m_sender = m_node.m_cluster.Self();
   news.m_sequence = ++m_sequence;
+  news.m_reaches_store = m_node.m_kv.ReachesDirectly();
   news.m_operator_change = m_node.m_operator->LastChange();
   news.m_upstream_change = m_node.m_upstream_list->LastChange();
   for (auto entry = m_node.m_upstreams.All().begin();
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -57,16 +57,27 @@
   co_return response;
 }
 
-Task<Result<KvReply>> PeerCalls::Relay(KvCall call, Millis deadline) {
+std::vector<std::string> PeerCalls::RelayPeers() const {
   const Millis now = MonotonicNow();
   std::vector<std::string> peers;
   for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
        ++entry) {
-    if (entry->second.m_heard != Millis() &&
-        now - entry->second.m_heard < kFreshNews) {
+    const PeerVm& peer = entry->second;
+    if (peer.m_heard != Millis() && now - peer.m_heard < kFreshNews &&
+        peer.m_news.m_reaches_store) {
       peers.push_back(entry->first);
     }
   }
+  return peers;
+}
+
+bool PeerCalls::CanRelay() const {
+  return !RelayPeers().empty();
+}
+
+Task<Result<KvReply>> PeerCalls::Relay(KvCall call, Millis deadline) {
+  const Millis now = MonotonicNow();
+  std::vector<std::string> peers = RelayPeers();
   std::shuffle(peers.begin(), peers.end(), ThreadRandom());
   const auto last = std::find(peers.begin(), peers.end(), m_relay_peer);
   if (last != peers.end()) {
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cluster/cluster_view.h"
 #include "gateway/caller_reply.h"
@@ -41,10 +42,14 @@
                                           WholeRequest request,
                                           Millis deadline);
 
+  // Only peers that reach the store themselves are asked.
+  bool CanRelay() const override;
   // Tries one peer after the other.
   Task<Result<KvReply>> Relay(KvCall call, Millis deadline) override;
 
  private:
+  // Peers heard from lately that reach the store.
+  std::vector<std::string> RelayPeers() const;
   ConnectionPool& PoolOf(const NetAddress& address);
 
   const ClusterView& m_cluster;
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -8,9 +8,6 @@
 namespace bronzecross {
 namespace {
 
-// Pause between repeats of a write.
-constexpr Millis kRepeatPause{200};
-
 const KvItem* FindItem(const KvOutcome& outcome, std::string_view key) {
   for (const KvItem& item : outcome.m_current) {
     if (item.m_key == key) {
@@ -67,7 +64,7 @@
     const Result<KvOutcome> outcome = co_await m_kv.Transact(transaction);
     if (!outcome) {
       last = outcome.error();
-      co_await Sleep(kRepeatPause);
+      co_await m_kv.PauseAfterFailure();
       continue;
     }
     if (outcome->m_applied) {
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -1,7 +1,11 @@
 #include "kv/kv_session.h"
 
+#include <algorithm>
+
+#include "aio/wait.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/random.h"
 #include "base/text.h"
 #include "http1/exchange.h"
 #include "platform/store_calls.h"
@@ -26,6 +30,13 @@
 // Largest reply; a page holds at most about one megabyte, in base64.
 constexpr size_t kMostReplyBytes = 4 << 20;
 
+// Pauses after a failed call. While no path works, callers other than the probe
+// wait up to the longest one, since calls to a service that is away are priced
+// too.
+constexpr Millis kShortestPause{60};
+constexpr Millis kRandomPause{160};
+constexpr Millis kLongestPause{2'000};
+
 constexpr int kTooManyStatus = 429;
 constexpr int kUnavailableStatus = 503;
 
@@ -40,7 +51,6 @@
     : m_pool(address, kIdleConnection) {}
 
 Task<Result<KvReply>> KvSession::CallDirect(KvCall call, Millis deadline) {
-  m_direct.m_last_direct_try = MonotonicNow();
   CountMetric("bronzecross_store_calls_total");
   WholeRequest request;
   request.m_head.m_method = std::move(call.m_method);
@@ -49,7 +59,6 @@
   Result<WholeResponse> response =
       co_await Exchange(m_pool, std::move(request), deadline, kMostReplyBytes);
   if (!response) {
-    NoteDirectFailure(m_direct, MonotonicNow());
     m_pool.Clear();
     Error error = response.error();
     error.m_code = ResultCode::kStoreUnavailable;
@@ -58,10 +67,58 @@
   KvReply reply;
   reply.m_status = response->m_head.m_status;
   reply.m_body = std::move(response->m_body);
-  if (IsRefusal(reply)) {
-    NoteDirectFailure(m_direct, MonotonicNow());
-  } else {
-    NoteDirectSuccess(m_direct);
+  co_return reply;
+}
+
+Task<Result<KvReply>> KvSession::CallAnyPath(KvCall call,
+                                             Millis timeout,
+                                             CallKind kind) {
+  const Millis started = MonotonicNow();
+  const Millis deadline = started + timeout;
+  const bool can_relay = m_relay != nullptr && m_relay->CanRelay();
+  if (FirstPath(m_direct, can_relay, kind == CallKind::kProbe) ==
+      StorePath::kRelay) {
+    Result<KvReply> relayed = co_await m_relay->Relay(call, deadline);
+    co_return relayed;
+  }
+  const bool may_switch = can_relay && kind != CallKind::kWatch;
+  const Millis direct_deadline =
+      may_switch ? std::min(deadline, started + DirectTimeout(m_direct))
+                 : deadline;
+  Result<KvReply> direct = co_await CallDirect(call, direct_deadline);
+  const Millis now = MonotonicNow();
+  if (direct && !IsRefusal(*direct)) {
+    if (kind != CallKind::kWatch) {
+      NoteReply(m_direct, now - started);
+    }
+    co_return direct;
+  }
+  const bool may_have_run =
+      !direct && direct.error().m_run == RunState::kUnknown;
+  // The service cuts waiting watches at times. Renewals of the lease tell
+  // whether it can be reached.
+  if (kind == CallKind::kWatch && may_have_run) {
+    co_return direct;
+  }
+  NoteFailedCall(m_direct, now, may_have_run ? now - started : Millis());
+  if (!may_switch) {
+    co_return direct;
+  }
+  Result<KvReply> relayed = co_await m_relay->Relay(std::move(call), deadline);
+  if (may_have_run && (!relayed || IsRefusal(*relayed))) {
+    co_return direct;
+  }
+  co_return relayed;
+}
+
+Task<Result<KvReply>> KvSession::Call(KvCall call,
+                                      Millis timeout,
+                                      CallKind kind) {
+  Result<KvReply> reply = co_await CallAnyPath(std::move(call), timeout, kind);
+  const bool is_cut_watch = kind == CallKind::kWatch && !reply &&
+                            reply.error().m_run == RunState::kUnknown;
+  if (!is_cut_watch) {
+    NoteOutcome(reply);
   }
   co_return reply;
 }
@@ -69,54 +126,48 @@
 void KvSession::NoteOutcome(const Result<KvReply>& reply) {
   const Millis now = MonotonicNow();
   if (!reply || IsRefusal(*reply)) {
-    if (m_any.m_failing_since == Millis()) {
+    if (m_failing_since == Millis()) {
+      m_failing_since = now;
       Log(Severity::kWarning, LogPart::kStore, "A store call failed.",
           {{"reason", reply ? Concat("status ", reply->m_status)
                             : reply.error().m_message}});
     }
-    NoteDirectFailure(m_any, now);
     return;
   }
-  if (m_any.m_failing_since != Millis()) {
-    Log(Severity::kInfo, LogPart::kStore, "The store is reachable again.",
-        {{"failed_for_ms", now - m_any.m_failing_since}});
+  if (m_failing_since == Millis()) {
+    return;
   }
-  if (m_any.m_failing_since != Millis() &&
-      now - m_any.m_failing_since >= kLapseAfter) {
+  Log(Severity::kInfo, LogPart::kStore, "The store is reachable again.",
+      {{"failed_for_ms", now - m_failing_since},
+       {"direct", ReachesDirectly() ? "yes" : "no"}});
+  if (now - m_failing_since >= kLapseAfter) {
     m_long_absence_end = now;
   }
-  NoteDirectSuccess(m_any);
+  m_failing_since = Millis();
+  m_recovered.NotifyAll();
 }
 
-Task<Result<KvReply>> KvSession::Call(KvCall call,
-                                      Millis timeout,
-                                      CallKind kind) {
-  const Millis deadline = MonotonicNow() + timeout;
-  if (m_relay != nullptr && ShouldRelay(m_direct, MonotonicNow())) {
-    Result<KvReply> relayed = co_await m_relay->Relay(call, deadline);
-    NoteOutcome(relayed);
-    co_return relayed;
-  }
-  const StorePathState before = m_direct;
-  Result<KvReply> direct = co_await CallDirect(std::move(call), deadline);
-  if (kind == CallKind::kWatch && !direct &&
-      direct.error().m_run == RunState::kUnknown) {
-    // The service cuts waiting watches at times. The lease's renewals tell
-    // whether it can be reached.
-    m_direct = before;
-    co_return direct;
-  }
-  NoteOutcome(direct);
-  co_return direct;
+bool KvSession::IsUnreachable() const {
+  return m_failing_since != Millis() && IsFailing(m_direct) &&
+         (m_relay == nullptr || !m_relay->CanRelay());
 }
 
-bool KvSession::IsUnavailable(Millis now) const {
-  return IsDirectPathFailing(m_any, now);
+Task<> KvSession::PauseAfterFailure() {
+  const Millis random(
+      static_cast<int64_t>(RandomBelow(ThreadRandom(), kRandomPause.count())));
+  co_await Sleep(kShortestPause + random);
+  // The renewals of the lease find out when the service is back.
+  const Millis until = MonotonicNow() + kLongestPause;
+  while (IsUnreachable() && MonotonicNow() < until) {
+    WaitAny wait(until);
+    wait.Add(m_recovered);
+    co_await wait;
+  }
 }
 
 bool KvSession::MayHaveLapsed(Millis now, Millis span) const {
-  const bool is_away = m_any.m_failing_since != Millis() &&
-                       now - m_any.m_failing_since >= kLapseAfter;
+  const bool is_away =
+      m_failing_since != Millis() && now - m_failing_since >= kLapseAfter;
   return is_away ||
          (m_long_absence_end != Millis() && now - m_long_absence_end < span);
 }
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -17,6 +17,8 @@
 class StoreRelay {
  public:
   virtual ~StoreRelay() = default;
+  // Whether another VM is known to reach the service.
+  virtual bool CanRelay() const = 0;
   virtual Task<Result<KvReply>> Relay(KvCall call, Millis deadline) = 0;
 };
 
@@ -43,23 +45,30 @@
   // One exchange on the direct path only, as other VMs ask for it.
   Task<Result<KvReply>> CallDirect(KvCall call, Millis deadline);
 
-  // Whether calls have failed on every path for a while.
-  bool IsUnavailable(Millis now) const;
+  // Whether this VM reaches the service without help.
+  bool ReachesDirectly() const { return !IsFailing(m_direct); }
+  // Pauses after a failed call: until the service is reachable again, or for a
+  // short time that differs between VMs.
+  Task<> PauseAfterFailure();
   // Whether the service is away, or came back within `span` before `now`, after
   // an absence in which entries that others renew may have lapsed.
   bool MayHaveLapsed(Millis now, Millis span) const;
 
  private:
-  enum class CallKind { kShort, kWatch };
+  enum class CallKind { kShort, kWatch, kProbe };
 
   Task<Result<KvReply>> Call(KvCall call, Millis timeout, CallKind kind);
+  Task<Result<KvReply>> CallAnyPath(KvCall call, Millis timeout, CallKind kind);
+  // Whether no path is known to work.
+  bool IsUnreachable() const;
   void NoteOutcome(const Result<KvReply>& reply);
 
   ConnectionPool m_pool;
   StoreRelay* m_relay = nullptr;
   StorePathState m_direct;
-  // The same as in StorePathState, over all paths.
-  StorePathState m_any;
+  // Since when calls have failed on every path; zero: the last one succeeded.
+  Millis m_failing_since;
+  Condition m_recovered;
   // The last absence that was long enough for entries to lapse: its end.
   Millis m_long_absence_end;
 };
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -4,7 +4,6 @@
 
 #include "aio/wait.h"
 #include "base/log.h"
-#include "base/random.h"
 
 namespace bronzecross {
 namespace {
@@ -13,11 +12,6 @@
 // probes find a silent connection much sooner.
 constexpr Millis kWatchWait{28'000};
 
-// Pause after a failed call, in milliseconds: between these bounds, so that the
-// VMs don't return at the same moment.
-constexpr int64_t kLeastPauseMs = 80;
-constexpr int64_t kMostPauseMs = 320;
-
 // Pause before the next watch after events, so that changes which come close
 // together cost one call.
 constexpr Millis kGatherTime{100};
@@ -26,12 +20,6 @@
 // few milliseconds, and VMs gather them for a tenth of a second.
 constexpr Millis kBehindLimit{350};
 
-Millis RandomPause() {
-  return Millis(kLeastPauseMs +
-                static_cast<int64_t>(
-                    RandomBelow(ThreadRandom(), kMostPauseMs - kLeastPauseMs)));
-}
-
 }  // namespace
 
 PrefixFollower::PrefixFollower(KvSession& session,
@@ -77,7 +65,7 @@
           {{"prefix", m_prefix}, {"revision", revision}});
       co_return;
     }
-    co_await Sleep(RandomPause());
+    co_await m_session.PauseAfterFailure();
   }
 }
 
@@ -87,7 +75,7 @@
     if (read) {
       co_await Follow();
     } else {
-      co_await Sleep(RandomPause());
+      co_await m_session.PauseAfterFailure();
     }
   }
 }
--- a/packages/kv/store_path.h
+++ b/packages/kv/store_path.h
@@ -1,6 +1,7 @@
-// Decides by which path a call reaches the key-value service. It answers the
-// load of a service that turns this VM away while it serves others: the calls
-// go through another VM until the direct path works again.
+// Decides how a call reaches the key-value service. It answers a service that
+// is slow, that turns this VM away while it serves others, or that is away for
+// all: calls go through another VM that reaches it, and while nobody does, one
+// call at a time looks whether it is back.
 
 #ifndef BRONZECROSS_KV_STORE_PATH_H_
 #define BRONZECROSS_KV_STORE_PATH_H_
@@ -13,23 +14,27 @@
 struct StorePathState {
   // When the failures that still last began; zero: the last call succeeded.
   Millis m_failing_since;
-  Millis m_last_direct_try;
+  // Moving average of the time to a reply.
+  double m_reply_ms = 5;
 };
 
-// Direct failures for so long send calls through another VM. Shorter ones are
-// single lost answers.
-inline constexpr Millis kRelayAfter{600};
+void NoteReply(StorePathState& state, Millis took);
+// `took`: how long the failed call waited.
+void NoteFailedCall(StorePathState& state, Millis now, Millis took);
 
-// How often the direct path is tried while calls go through another VM.
-inline constexpr Millis kDirectRetryInterval{1'000};
+inline bool IsFailing(const StorePathState& state) {
+  return state.m_failing_since != Millis();
+}
 
-void NoteDirectSuccess(StorePathState& state);
-void NoteDirectFailure(StorePathState& state, Millis now);
+// How long a direct call is waited for if another VM may carry it instead. It
+// follows the replies, so that a slow service isn't taken for a lost one.
+Millis DirectTimeout(const StorePathState& state);
 
-bool IsDirectPathFailing(const StorePathState& state, Millis now);
+enum class StorePath { kDirect, kRelay };
 
-// Whether the next call goes through another VM.
-bool ShouldRelay(const StorePathState& state, Millis now);
+// The first path of a call. `is_probe`: the call is to find out whether the
+// direct path works again.
+StorePath FirstPath(const StorePathState& state, bool can_relay, bool is_probe);
 
 }  // namespace bronzecross
 
