Close the listener before the last step of a drain; register in steps that can be repeated

Ruled out: the grace time; the process ended 2.6 s after SIGTERM of 8. Change: the callers' listener closes after the notice, jobs are released while requests still end, and the loop stops only when none is left. Grant, write and renewal are separate steps; a VM that the others hear counts as known; each lost reply doubles the patience of the store path, a reply resets it.

--- a/packages/cluster/vm_registration.h
+++ b/packages/cluster/vm_registration.h
@@ -23,12 +23,16 @@
   bool IsLeaseHeld() const;
 
  private:
-  Task<bool> Register();
+  // Each is one step and tells whether it succeeded.
+  Task<bool> Grant();
+  Task<bool> Write();
+  Task<bool> Renew();
 
   KvSession& m_kv;
   VmRecord m_self;
-  int64_t m_lease = 0;
-  Millis m_held_until;  // on the clock of BootNow()
+  int64_t m_lease = 0;     // 0: none
+  bool m_written = false;  // the record, under this lease
+  Millis m_held_until;     // on the clock of BootNow()
   bool m_ended = false;
 };
 
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -4,6 +4,8 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "aio/wait.h"
@@ -21,8 +23,8 @@
 // How often postponed removals and shares of the limits are looked at.
 constexpr Millis kUpkeepEvery{100};
 
-// After its registration a VM waits this long before it uses its share of the
-// limits, so that the others have reduced theirs.
+// After the others count it a VM waits this long before it uses its share of
+// the limits, so that the others have reduced theirs.
 constexpr Millis kShareDelay{800};
 
 // How often seeds are asked for VMs while no VM is known.
@@ -189,13 +191,18 @@
                            Spawn(ServeChecks(std::move(stream), metrics));
                          });
   }
-  if (opened) {
-    opened = AddListener(settings.m_callers,
-                         [this](std::unique_ptr<TcpStream> stream) {
-                           Spawn(ServeCaller(m_node, std::move(stream)));
-                         });
+  if (!opened) {
+    return opened;
+  }
+  Result<std::unique_ptr<TcpListener>> callers = TcpListener::Open(
+      settings.m_callers, [this](std::unique_ptr<TcpStream> stream) {
+        Spawn(ServeCaller(m_node, std::move(stream)));
+      });
+  if (!callers) {
+    return tl::unexpected<Error>(callers.error());
   }
-  return opened;
+  m_caller_listener = *std::move(callers);
+  return {};
 }
 
 void Gateway::OnOperatorItem(const KvItem& item) {
@@ -284,22 +291,24 @@
 }
 
 Task<> Gateway::RunUpkeep() {
-  Millis listed_since;
+  Millis counted_since;  // zero: not yet
   for (;;) {
     const Millis now = MonotonicNow();
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
-    const bool listed =
-        m_node.m_cluster.IsSelfListed() || m_node.m_registration.IsLeaseHeld();
-    listed_since = listed && listed_since == Millis() ? now : listed_since;
-    const bool settled =
-        listed_since != Millis() && (now - listed_since >= kShareDelay ||
-                                     m_node.m_cluster.ReplacesEarlierSelf());
+    const int members = m_node.m_cluster.CountMembers(now);
+    const int heard = m_node.m_cluster.CountHeard(now);
+    const bool is_lease_held = m_node.m_registration.IsLeaseHeld();
+    // The others count a VM that is registered, or whose news reach them.
+    const bool is_counted =
+        is_lease_held || (members > 1 && 2 * heard > members);
+    counted_since =
+        is_counted && counted_since == Millis() ? now : counted_since;
+    const bool has_settled =
+        counted_since != Millis() && (now - counted_since >= kShareDelay ||
+                                      m_node.m_cluster.ReplacesEarlierSelf());
     m_node.m_quotas.SetEntitled(
-        settled && IsEntitled(m_node.m_registration.IsLeaseHeld(),
-                              m_node.m_cluster.CountHeard(now),
-                              m_node.m_cluster.CountMembers(now)),
-        now);
+        has_settled && IsEntitled(is_lease_held, heard, members), now);
     m_node.DispatchAll();
     co_await Sleep(kUpkeepEvery);
   }
@@ -376,15 +385,25 @@
   m_node.m_drain_started.NotifyAll();
   m_jobs.Drain();
   const Millis limit = started + m_node.m_settings.m_drain_limit - kExitMargin;
-  while (MonotonicNow() < limit &&
-         (MonotonicNow() < started + kDrainNotice || m_node.m_requests > 0)) {
-    co_await Sleep(kDrainStep);
+  co_await WaitAny(std::min(limit, started + kDrainNotice));
+  // New callers are turned away from here on, so that none is cut at the end.
+  m_caller_listener.reset();
+  bool released = false;
+  while (MonotonicNow() < limit && (m_node.m_requests > 0 || !released)) {
+    if (m_node.m_requests == 0) {
+      released = true;
+      co_await m_jobs.ReleaseAll(MonotonicNow() + kReleaseTime);
+    } else {
+      co_await Sleep(kDrainStep);
+    }
+  }
+  if (!released) {
+    co_await m_jobs.ReleaseAll(MonotonicNow() + kReleaseTime);
   }
   Log(Severity::kInfo, LogPart::kMain, "Stopping.",
       {{"callers", m_node.m_callers},
        {"requests", m_node.m_requests},
        {"ms", MonotonicNow() - started}});
-  co_await m_jobs.ReleaseAll(MonotonicNow() + kReleaseTime);
   co_await m_node.m_registration.End();
   m_loop.Stop();
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -57,6 +57,7 @@
   JobService m_jobs;
   std::function<Result<GatewaySettings>()> m_reload;
   std::vector<std::unique_ptr<TcpListener>> m_listeners;
+  std::unique_ptr<TcpListener> m_caller_listener;  // closed first in a drain
   // VMs whose disks the operator wants emptied, as far as that was handled.
   std::set<std::string> m_emptied;
 };
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -100,7 +100,7 @@
   if (kind == CallKind::kWatch && may_have_run) {
     co_return direct;
   }
-  NoteFailedCall(m_direct, now, may_have_run ? now - started : Millis());
+  NoteFailedCall(m_direct, now, may_have_run);
   if (!may_switch) {
     co_return direct;
   }
--- a/packages/kv/store_path.cc
+++ b/packages/kv/store_path.cc
@@ -1,6 +1,7 @@
 #include "kv/store_path.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bronzecross {
 namespace {
@@ -20,25 +21,23 @@
 
 void NoteReply(StorePathState& state, Millis took) {
   state.m_failing_since = Millis();
+  state.m_timeouts = 0;
   state.m_reply_ms = state.m_reply_ms * (1 - kNewWeight) +
                      static_cast<double>(took.count()) * kNewWeight;
 }
 
-void NoteFailedCall(StorePathState& state, Millis now, Millis took) {
+void NoteFailedCall(StorePathState& state, Millis now, bool timed_out) {
   if (!IsFailing(state)) {
     state.m_failing_since = now;
   }
-  // A call that was given up after some time would have taken longer still.
-  const double waited = static_cast<double>(took.count());
-  if (waited > state.m_reply_ms) {
-    state.m_reply_ms =
-        state.m_reply_ms * (1 - kNewWeight) + waited * kNewWeight;
-  }
+  state.m_timeouts += timed_out ? 1 : 0;
 }
 
 Millis DirectTimeout(const StorePathState& state) {
-  return Millis(static_cast<int64_t>(
-      std::clamp(state.m_reply_ms * kPatienceFactor, kShortestMs, kLongestMs)));
+  const double usual =
+      std::max(state.m_reply_ms * kPatienceFactor, kShortestMs);
+  const double patience = std::ldexp(usual, std::min(state.m_timeouts, 4));
+  return Millis(static_cast<int64_t>(std::min(patience, kLongestMs)));
 }
 
 StorePath FirstPath(const StorePathState& state,
--- a/packages/kv/store_path.h
+++ b/packages/kv/store_path.h
@@ -16,18 +16,20 @@
   Millis m_failing_since;
   // Moving average of the time to a reply.
   double m_reply_ms = 5;
+  int m_timeouts = 0;  // calls without a reply since the last one
 };
 
 void NoteReply(StorePathState& state, Millis took);
-// `took`: how long the failed call waited.
-void NoteFailedCall(StorePathState& state, Millis now, Millis took);
+// `timed_out`: no reply came in time, as against a refusal.
+void NoteFailedCall(StorePathState& state, Millis now, bool timed_out);
 
 inline bool IsFailing(const StorePathState& state) {
   return state.m_failing_since != Millis();
 }
 
 // How long a direct call is waited for if another VM may carry it instead. It
-// follows the replies, so that a slow service isn't taken for a lost one.
+// follows the replies and doubles with each one that doesn't come, so that
+// neither a slow service nor a lost reply costs much.
 Millis DirectTimeout(const StorePathState& state);
 
 enum class StorePath { kDirect, kRelay };
