--- a/packages/dispatch/dispatch_test.cc
+++ b/packages/dispatch/dispatch_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "dispatch/event_splitter.h"
 #include "dispatch/pick_upstream.h"
 #include "dispatch/queue_order.h"
@@ -71,6 +73,52 @@
   }
 }
 
+// Six VMs place a jump of the load at ten upstreams of eight slots. Each hears
+// of the others' requests at its next news only. Returns the requests that went
+// to an upstream without a free slot.
+int OverfilledByJump(bool tell_at_once) {
+  constexpr int kVms = 6;
+  constexpr int kUpstreams = 10;
+  constexpr int kSlots = 8;
+  constexpr int kRequests = 78;  // within a second, nearly all slots
+  constexpr int kNewsEvery = 8;  // arrivals in the time of one round of news
+  constexpr int kNewsSoon = 2;   // the same, for news sent at once
+  Random random(7);
+  std::vector<int> actual(kUpstreams, 0);
+  std::vector<std::vector<int>> known(kVms, actual);
+  int overfilled = 0;
+  int next_news = kNewsEvery;
+  for (int i = 0; i < kRequests; ++i) {
+    const size_t vm = RandomBelow(random, kVms);
+    std::vector<UpstreamLoad> loads;
+    for (int upstream = 0; upstream < kUpstreams; ++upstream) {
+      loads.push_back(Load(known[vm][upstream], 0));
+    }
+    const std::optional<size_t> choice = PickUpstream(loads, random);
+    if (!choice) {
+      continue;
+    }
+    overfilled += actual[*choice] >= kSlots ? 1 : 0;
+    ++actual[*choice];
+    ++known[vm][*choice];
+    if (tell_at_once && IsWorthTelling(known[vm][*choice], kSlots)) {
+      next_news = std::min(next_news, i + kNewsSoon);
+    }
+    if (i >= next_news) {
+      known.assign(kVms, actual);
+      next_news = i + kNewsEvery;
+    }
+  }
+  return overfilled;
+}
+
+TEST_CASE(
+    "telling of nearly full upstreams keeps a jump from overfilling them") {
+  const int late = OverfilledByJump(false);
+  const int at_once = OverfilledByJump(true);
+  CHECK(at_once < late);
+}
+
 TEST_CASE("who can be on time goes first, the most urgent before others") {
   const Millis now(1'000);
   const QueuedRequest urgent{0, Millis(1'050), Millis(5'000)};
--- a/packages/dispatch/pick_upstream.cc
+++ b/packages/dispatch/pick_upstream.cc
@@ -19,6 +19,9 @@
 // Used for an upstream without measurements if no other has any.
 constexpr double kDefaultWorkMs = 30;
 
+// An upstream with so few free slots is told of at once.
+constexpr int kTellAtFreeSlots = 2;
+
 double MeanWork(std::span<const UpstreamLoad> loads) {
   double sum = 0;
   int count = 0;
@@ -33,6 +36,10 @@
 
 }  // namespace
 
+bool IsWorthTelling(int total, int slots) {
+  return total + kTellAtFreeSlots >= slots;
+}
+
 std::optional<size_t> PickUpstream(std::span<const UpstreamLoad> loads,
                                    Random& random) {
   const double mean = MeanWork(loads);
--- a/packages/dispatch/pick_upstream.h
+++ b/packages/dispatch/pick_upstream.h
@@ -24,6 +24,11 @@
   bool m_usable = true;  // healthy, not draining, not tried before
 };
 
+// Whether other VMs should hear at once that a request was placed at an
+// upstream that now has `total` requests: they would choose it as well until
+// then.
+bool IsWorthTelling(int total, int slots);
+
 // Index of the choice; nothing if no upstream has room.
 std::optional<size_t> PickUpstream(std::span<const UpstreamLoad> loads,
                                    Random& random);
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -19,12 +19,12 @@
                      std::string zone,
                      UpstreamTable& upstreams,
                      const ClusterView& cluster,
-                     std::function<void(Upstream&)> preempt)
+                     std::function<void(Upstream&)> on_placed)
     : m_service(std::move(service)),
       m_zone(std::move(zone)),
       m_upstreams(upstreams),
       m_cluster(cluster),
-      m_preempt(std::move(preempt)) {}
+      m_on_placed(std::move(on_placed)) {}
 
 UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request) {
   const Millis now = MonotonicNow();
@@ -58,9 +58,7 @@
   }
   const UpstreamPtr& upstream = candidates[*choice];
   ++upstream->m_online;
-  if (upstream->Online() + upstream->Batch() > upstream->m_entry.m_slots) {
-    m_preempt(*upstream);
-  }
+  m_on_placed(*upstream);
   return upstream;
 }
 
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -27,13 +27,12 @@
 
 class SlotQueue {
  public:
-  // `preempt` is called when an online request was placed where batch work
-  // holds all slots.
+  // `on_placed` is called after an online request was placed.
   SlotQueue(std::string service,
             std::string zone,
             UpstreamTable& upstreams,
             const ClusterView& cluster,
-            std::function<void(Upstream&)> preempt);
+            std::function<void(Upstream&)> on_placed);
 
   // Waits for a slot. Returns null if none comes until the request gives up or
   // is cancelled. The slot is counted until Release().
@@ -65,7 +64,7 @@
   std::string m_zone;
   UpstreamTable& m_upstreams;
   const ClusterView& m_cluster;
-  std::function<void(Upstream&)> m_preempt;
+  std::function<void(Upstream&)> m_on_placed;
   std::list<Waiting*> m_waiting;
   double m_service_ms = 0;
 };
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -18,9 +18,9 @@
 
 const std::vector<UpstreamPtr>& UpstreamTable::OfService(
     std::string_view service) const {
-  static const std::vector<UpstreamPtr> none;
+  static const std::vector<UpstreamPtr> kNone;
   const auto found = m_by_service.find(service);
-  return found == m_by_service.end() ? none : found->second;
+  return found == m_by_service.end() ? kNone : found->second;
 }
 
 void UpstreamTable::Index() {
--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -27,8 +27,8 @@
 
 // Used until the first configuration is known.
 const CallerLimits& LimitsOf(const Node& node) {
-  static const CallerLimits defaults;
-  return node.m_config == nullptr ? defaults : node.m_config->m_limits;
+  static const CallerLimits kDefaults;
+  return node.m_config == nullptr ? kDefaults : node.m_config->m_limits;
 }
 
 // A request waits for a rate token up to this part of its latency target. A
@@ -222,7 +222,7 @@
   if (request.m_workspace != nullptr) {
     CallerCancellation cancellation(caller);
     const Status admitted = co_await node.m_quotas.Admit(
-        *request.m_workspace,
+        request.m_fields.m_request_id, *request.m_workspace,
         request.m_route->m_latency_target / kTokenPatienceDivisor,
         cancellation);
     if (!admitted) {
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -123,16 +123,16 @@
       m_vms(m_node.m_kv, std::string(kVmPrefix), VmHandlers()),
       m_peer_calls(m_node.m_cluster),
       m_news(m_node),
-      m_jobs(JobService::Parts{
-          m_node.m_kv, m_node.m_cluster, m_node.m_upstreams,
-          [this] { return m_node.m_config; },
-          [this](std::string_view service) {
-            const auto found = m_node.m_queues.find(service);
-            return found == m_node.m_queues.end()
-                       ? 0
-                       : found->second.GetState().m_waiting;
-          },
-          [this] { m_news.SendSoon(); }, m_node.m_settings.m_result_retention}),
+      m_jobs(JobParts{m_node.m_kv, m_node.m_cluster, m_node.m_upstreams,
+                      [this] { return m_node.m_config; },
+                      [this](std::string_view service) {
+                        const auto found = m_node.m_queues.find(service);
+                        return found == m_node.m_queues.end()
+                                   ? 0
+                                   : found->second.GetState().m_waiting;
+                      },
+                      [this] { m_news.SendSoon(); },
+                      m_node.m_settings.m_result_retention}),
       m_reload(std::move(reload)) {
   m_node.m_news = &m_news;
   m_node.m_jobs = &m_jobs;
@@ -356,8 +356,8 @@
   Spawn(m_vms.Run());
   Spawn(m_node.m_registration.Run());
   Spawn(m_news.Run());
-  Spawn(m_jobs.RunScheduler());
-  Spawn(m_jobs.RunTakeovers());
+  Spawn(m_jobs.Scheduler().Run());
+  Spawn(m_jobs.Takeover().Run());
   Spawn(RunUpkeep());
   Spawn(AskSeeds());
 }
@@ -392,13 +392,13 @@
   while (MonotonicNow() < limit && (m_node.m_requests > 0 || !released)) {
     if (m_node.m_requests == 0) {
       released = true;
-      co_await m_jobs.ReleaseAll(MonotonicNow() + kReleaseTime);
+      co_await m_jobs.Scheduler().ReleaseAll(MonotonicNow() + kReleaseTime);
     } else {
       co_await Sleep(kDrainStep);
     }
   }
   if (!released) {
-    co_await m_jobs.ReleaseAll(MonotonicNow() + kReleaseTime);
+    co_await m_jobs.Scheduler().ReleaseAll(MonotonicNow() + kReleaseTime);
   }
   Log(Severity::kInfo, LogPart::kMain, "Stopping.",
       {{"callers", m_node.m_callers},
--- a/packages/gateway/news_exchange.cc
+++ b/packages/gateway/news_exchange.cc
@@ -100,7 +100,7 @@
   m_node.m_quotas.OnNews(peer->m_news, m_sequence, now);
   m_node.m_jobs->OnNews(peer->m_news, now);
   m_node.m_upstreams.OnPeerUses(m_node.m_cluster, now);
-  m_node.m_jobs->YieldOverfull();
+  m_node.m_jobs->Scheduler().YieldOverfull();
   m_node.DispatchAll();
 }
 
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "dispatch/pick_upstream.h"
 #include "gateway/news_exchange.h"
 #include "jobs/job_service.h"
 
@@ -39,13 +40,20 @@
   const std::string name(service);
   return m_queues
       .try_emplace(name, name, m_settings.m_zone, m_upstreams, m_cluster,
-                   [this](Upstream& upstream) {
-                     m_jobs->YieldTo(upstream);
-                     m_news->SendSoon();
-                   })
+                   [this](Upstream& upstream) { OnPlaced(upstream); })
       .first->second;
 }
 
+void Node::OnPlaced(Upstream& upstream) {
+  const int total = upstream.Online() + upstream.Batch();
+  if (total > upstream.m_entry.m_slots) {
+    m_jobs->Scheduler().YieldTo(upstream);
+  }
+  if (IsWorthTelling(total, upstream.m_entry.m_slots)) {
+    m_news->SendSoon();
+  }
+}
+
 void Node::InstallConfig(FleetConfigPtr config, int64_t revision) {
   if (m_config != nullptr && config->m_version <= m_config->m_version) {
     return;
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -31,6 +31,9 @@
 
   // The queue of `service`, made at its first use.
   SlotQueue& QueueOf(std::string_view service);
+  // An online request was placed: batch work makes room, and the other VMs are
+  // told if the upstream is nearly full.
+  void OnPlaced(Upstream& upstream);
   // Puts a configuration in force if it is newer than the present one.
   void InstallConfig(FleetConfigPtr config, int64_t revision);
   // Hands out slots of all services.
--- a/packages/http1/message_parser.cc
+++ b/packages/http1/message_parser.cc
@@ -65,7 +65,7 @@
 
 size_t MessageParser::Feed(std::string_view bytes) {
   using State = MessageParser::Impl;
-  static const http_parser_settings settings = [] {
+  static const http_parser_settings kSettings = [] {
     http_parser_settings s;
     http_parser_settings_init(&s);
     s.on_url = [](http_parser* p, const char* at, size_t n) {
@@ -119,7 +119,7 @@
     return 0;
   }
   const bool in_head = self.m_state == ParseState::kHead;
-  size_t used = http_parser_execute(&self.m_parser, &settings, bytes.data(),
+  size_t used = http_parser_execute(&self.m_parser, &kSettings, bytes.data(),
                                     bytes.size());
   const http_errno error = HTTP_PARSER_ERRNO(&self.m_parser);
   if (error == HPE_PAUSED) {
--- /dev/null
+++ b/packages/jobs/job_takeover.cc
@@ -0,0 +1,99 @@
+#include "jobs/job_takeover.h"
+
+#include <vector>
+
+#include "aio/wait.h"
+#include "base/log.h"
+#include "base/random.h"
+
+namespace bronzecross {
+namespace {
+
+// How often orphaned jobs are looked for, and how often the store is asked for
+// open jobs that nobody has told of.
+constexpr Millis kTakeoverEvery{500};
+constexpr Millis kScanEvery{15'000};
+
+// Pause after the first scan, whose orphans another VM may have failed to take.
+constexpr Millis kFirstScanPause{2'500};
+
+// After its start a VM waits this long before it judges which VMs are alive.
+constexpr Millis kSettleTime{700};
+
+}  // namespace
+
+Task<> JobTakeover::TakeOver(std::string id) {
+  if (m_table.Has(id)) {
+    co_return;
+  }
+  const Result<StoredState> stored = co_await m_store.ReadState(id);
+  if (!stored) {
+    if (stored.error().m_code == ResultCode::kNotFound) {
+      m_table.m_claims.Forget(id);
+    }
+    co_return;
+  }
+  const JobState& state = stored->m_state;
+  const VmRecord& self = m_parts.m_cluster.Self();
+  const Millis now = MonotonicNow();
+  const bool is_open = state.m_phase == JobPhase::kOpen;
+  const bool is_own = state.m_owner == self.m_id &&
+                      state.m_owner_incarnation == self.m_incarnation;
+  if (!is_open ||
+      (!is_own && m_parts.m_cluster.IsAlive(state.m_owner,
+                                            state.m_owner_incarnation, now))) {
+    m_table.m_claims.Note(
+        id, JobClaim{state.m_owner, state.m_owner_incarnation, is_open, now});
+    co_return;
+  }
+  Result<JobPtr> job = co_await m_store.TakeOver(id, *stored);
+  if (!job) {
+    LogError(Severity::kInfo, LogPart::kBatch, "A job wasn't taken over.",
+             job.error());
+    co_return;
+  }
+  Log(Severity::kInfo, LogPart::kBatch, "Took over a job.",
+      {{"job", id},
+       {"from", state.m_owner},
+       {"listed", (*job)->m_listed.size()},
+       {"items", (*job)->m_spec.m_items.size()}});
+  if (!m_table.Has(id)) {
+    m_activate(*job);
+  }
+}
+
+Task<> JobTakeover::Run() {
+  co_await Sleep(kSettleTime);
+  Millis next_scan;
+  Millis scan_pause = kFirstScanPause;
+  for (;;) {
+    const Millis now = MonotonicNow();
+    std::vector<std::string> orphans =
+        m_table.m_claims.OrphansOf(m_parts.m_cluster, now);
+    if (now >= next_scan && !m_draining) {
+      const Result<std::vector<std::string>> open = co_await m_store.ListOpen();
+      if (open) {
+        // Spread over time, so that the VMs don't ask at the same moment.
+        next_scan = now + scan_pause +
+                    Millis(static_cast<int64_t>(
+                        RandomBelow(ThreadRandom(), scan_pause.count())));
+        scan_pause = kScanEvery;
+        for (const std::string& id : *open) {
+          if (m_table.m_claims.Find(id) == nullptr && !m_table.Has(id) &&
+              m_parts.m_cluster.FirstVmFor(id, now) ==
+                  m_parts.m_cluster.Self().m_id) {
+            orphans.push_back(id);
+          }
+        }
+      }
+    }
+    for (const std::string& id : orphans) {
+      if (!m_draining) {
+        co_await TakeOver(id);
+      }
+    }
+    co_await Sleep(kTakeoverEvery);
+  }
+}
+
+}  // namespace bronzecross
--- a/packages/quota/quota_keeper.cc
+++ b/packages/quota/quota_keeper.cc
@@ -64,14 +64,18 @@
   return levels;
 }
 
+double QuotaKeeper::TokensElsewhere(uint32_t workspace, Millis now) const {
+  double tokens = 0;
+  for (const PeerLevel& level : LevelsOf(workspace, now)) {
+    tokens += level.m_tokens;
+  }
+  return tokens;
+}
+
 Millis QuotaKeeper::NextToken(const Account& account,
                               uint32_t id,
                               Millis now) const {
-  double elsewhere = 0;
-  for (const PeerLevel& level : LevelsOf(id, now)) {
-    elsewhere += level.m_tokens;
-  }
-  if (elsewhere >= 1 + account.m_waiting) {
+  if (TokensElsewhere(id, now) >= 1 + account.m_waiting) {
     return now + kGrantTime;
   }
   const TokenShare share = Share(account, now);
@@ -83,7 +87,10 @@
          Millis(static_cast<int64_t>(missing * 1000 / share.m_rate_per_s));
 }
 
-Status QuotaKeeper::Refuse(Account& account, Millis now) {
+Status QuotaKeeper::Refuse(std::string_view request_id,
+                           Account& account,
+                           uint32_t id,
+                           Millis now) {
   Error error;
   error.m_code = ResultCode::kRateLimited;
   error.m_message =
@@ -92,10 +99,21 @@
   error.m_retry_after = RetryAfterRefusal(
       Share(account, now), account.m_bucket.m_tokens, account.m_promised);
   account.m_promised += 1;
+  Log(Severity::kInfo, LogPart::kLimits, "No rate token.",
+      {{"request", request_id},
+       {"workspace", account.m_name},
+       {"tokens", account.m_bucket.m_tokens},
+       {"waiting", account.m_waiting},
+       {"elsewhere", TokensElsewhere(id, now)},
+       {"share_per_s", Share(account, now).m_rate_per_s},
+       {"members", m_cluster.CountMembers(now)},
+       {"entitled", m_entitled ? "yes" : "no"},
+       {"retry_after_ms", error.m_retry_after}});
   return tl::unexpected<Error>(error);
 }
 
-Task<Status> QuotaKeeper::Admit(const Workspace& workspace,
+Task<Status> QuotaKeeper::Admit(std::string request_id,
+                                const Workspace& workspace,
                                 Millis patience,
                                 Cancellation& cancellation) {
   if (workspace.m_rate_per_s <= 0) {
@@ -109,7 +127,7 @@
     co_return Status();
   }
   if (NextToken(account, id, MonotonicNow()) > until) {
-    co_return Refuse(account, MonotonicNow());
+    co_return Refuse(request_id, account, id, MonotonicNow());
   }
   ++account.m_waiting;
   m_send_news();
@@ -126,7 +144,7 @@
   }
   --account.m_waiting;
   if (!taken) {
-    co_return Refuse(account, MonotonicNow());
+    co_return Refuse(request_id, account, id, MonotonicNow());
   }
   co_return Status();
 }
--- a/packages/quota/quota_keeper.h
+++ b/packages/quota/quota_keeper.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -29,7 +30,8 @@
   // Takes a token for one request. If other VMs have tokens, or one is earned
   // soon, waits up to `patience` for it. Fails with kRateLimited and the best
   // time to come back.
-  Task<Status> Admit(const Workspace& workspace,
+  Task<Status> Admit(std::string request_id,
+                     const Workspace& workspace,
                      Millis patience,
                      Cancellation& cancellation);
 
@@ -59,9 +61,14 @@
   TokenShare Share(const Account& account, Millis now) const;
   void Refill(Account& account, Millis now);
   std::vector<PeerLevel> LevelsOf(uint32_t workspace, Millis now) const;
+  // Tokens that the other VMs told of.
+  double TokensElsewhere(uint32_t workspace, Millis now) const;
   // When a token is likely to be there.
   Millis NextToken(const Account& account, uint32_t id, Millis now) const;
-  Status Refuse(Account& account, Millis now);
+  Status Refuse(std::string_view request_id,
+                Account& account,
+                uint32_t id,
+                Millis now);
 
   const ClusterView& m_cluster;
   std::function<void()> m_send_news;
--- a/programs/bronzecrossctl/commands.cc
+++ b/programs/bronzecrossctl/commands.cc
@@ -1,12 +1,15 @@
 #include "commands.h"
 
 #include <cstdio>
+#include <fstream>
 #include <functional>
 #include <optional>
+#include <sstream>
 
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "base/log_trace.h"
 #include "base/random.h"
 #include "config/manifest.h"
 #include "http/http_client.h"
@@ -228,17 +231,39 @@
   return 0;
 }
 
+// Prints the lines of the given logs that name an id.
+int RunTrace(const CtlOptions& options) {
+  std::vector<std::string> logs;
+  for (size_t i = 2; i < options.m_arguments.size(); ++i) {
+    std::ifstream file(options.m_arguments[i]);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) {
+      std::fprintf(stderr, "%s: cannot be read\n",
+                   options.m_arguments[i].c_str());
+      return kExitFailed;
+    }
+    logs.push_back(text.str());
+  }
+  const std::vector<std::string> lines =
+      TraceLogs(logs, options.m_arguments[1]);
+  for (const std::string& line : lines) {
+    std::printf("%s\n", line.c_str());
+  }
+  return lines.empty() ? kExitFailed : 0;
+}
+
 struct Command {
   const char* m_name;
   size_t m_arguments;
   int (*m_run)(const CtlOptions&);
+  bool m_takes_more = false;  // than m_arguments
 };
 
 constexpr Command kCommands[] = {
     {"check", 1, RunCheck},      {"diff", 1, RunDiff},
     {"publish", 1, RunPublish},  {"show", 0, RunShow},
     {"hash-key", 1, RunHashKey}, {"withdraw-key", 1, RunWithdrawKey},
-    {"status", 0, RunStatus},
+    {"status", 0, RunStatus},    {"trace", 2, RunTrace, true},
 };
 
 }  // namespace
@@ -252,9 +277,12 @@
     if (options.m_arguments[0] != command.m_name) {
       continue;
     }
-    if (options.m_arguments.size() != command.m_arguments + 1) {
-      std::fprintf(stderr, "bronzecrossctl: %s takes %zu argument(s)\n",
-                   command.m_name, command.m_arguments);
+    const size_t given = options.m_arguments.size() - 1;
+    if (given < command.m_arguments ||
+        (given > command.m_arguments && !command.m_takes_more)) {
+      std::fprintf(stderr, "bronzecrossctl: %s takes %zu%s argument(s)\n",
+                   command.m_name, command.m_arguments,
+                   command.m_takes_more ? " or more" : "");
       return kExitUsage;
     }
     return command.m_run(options);
--- a/programs/bronzecrossctl/ctl_options.cc
+++ b/programs/bronzecrossctl/ctl_options.cc
@@ -19,7 +19,9 @@
     "  show                     print the manifest in force as JSON\n"
     "  hash-key KEY             print the SHA-256 that a manifest names\n"
     "  withdraw-key ID          withdraw one key\n"
-    "  status                   show each VM and the generation it follows\n";
+    "  status                   show each VM and the generation it follows\n"
+    "  trace ID LOG...          print the log lines that name a request, job,\n"
+    "                           item, upstream or VM, in the order of time\n";
 
 }  // namespace
 
