--- a/packages/dispatch/dispatch_test.cc
+++ b/packages/dispatch/dispatch_test.cc
@@ -148,6 +148,13 @@
   CHECK(ExpectedWait(state) > Millis());
 }
 
+TEST_CASE("where no upstream takes requests, callers are refused promptly") {
+  QueueState state;
+  CHECK(LongestWait(state, Millis(5'000), Millis(300)) == Millis(75));
+  state.m_slots = 8;
+  CHECK(LongestWait(state, Millis(5'000), Millis(300)) == Millis(5'000));
+}
+
 TEST_CASE("an upstream that fails repeatedly is left out, longer each time") {
   UpstreamHealth health;
   Millis now(1'000);
--- a/packages/dispatch/queue_order.cc
+++ b/packages/dispatch/queue_order.cc
@@ -8,6 +8,9 @@
 // Used before a service time was measured.
 constexpr double kDefaultServiceMs = 500;
 
+// A refusal within this part of the latency target counts as prompt.
+constexpr int64_t kPromptRefusalDivisor = 4;
+
 // Bounds of the advice to come back.
 constexpr Millis kShortestRetry{100};
 constexpr Millis kLongestRetry{1'500};
@@ -37,6 +40,14 @@
       static_cast<int64_t>(state.m_waiting * service / state.m_slots));
 }
 
+Millis LongestWait(const QueueState& state,
+                   Millis time_left,
+                   Millis latency_target) {
+  return state.m_slots > 0
+             ? time_left
+             : std::min(time_left, latency_target / kPromptRefusalDivisor);
+}
+
 bool ShouldRefuse(Millis expected_wait, Millis time_left, Millis service_time) {
   return expected_wait + service_time > time_left;
 }
--- a/packages/dispatch/queue_order.h
+++ b/packages/dispatch/queue_order.h
@@ -31,6 +31,12 @@
 // Expected wait of a request that joins the queue now.
 Millis ExpectedWait(const QueueState& state);
 
+// How long a request may wait for a slot. Where no upstream takes requests it
+// waits only as long as a refusal leaves its caller a good second try.
+Millis LongestWait(const QueueState& state,
+                   Millis time_left,
+                   Millis latency_target);
+
 // Whether a request that would wait so long is refused at once: its caller may
 // come back, and earns more by a prompt second try than by a late answer.
 bool ShouldRefuse(Millis expected_wait, Millis time_left, Millis service_time);
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -83,8 +83,11 @@
   slot.m_order.m_on_time_until =
       m_request.m_arrived + m_request.m_route->m_latency_target;
   slot.m_order.m_useful_until = m_deadline - queue.ServiceTime();
-  slot.m_give_up =
-      std::max(slot.m_order.m_useful_until, MonotonicNow() + kLeastAttempt);
+  const Millis now = MonotonicNow();
+  const Millis time_left =
+      std::max(slot.m_order.m_useful_until - now, kLeastAttempt);
+  slot.m_give_up = now + LongestWait(queue.GetState(), time_left,
+                                     m_request.m_route->m_latency_target);
   slot.m_excluded = m_excluded;
   return slot;
 }
--- a/standins/platform_replica_standin.h
+++ b/standins/platform_replica_standin.h
@@ -56,6 +56,7 @@
   // Writes its entry with the given state.
   void Register(std::string_view state);
   void Unregister();
+  const NetAddress& Address() const { return m_server.Address(); }
   // Ends as a crash does; the entry stays.
   void Crash();
 
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -139,6 +139,10 @@
                      std::istreambuf_iterator<char>());
 }
 
+std::string GatewayCluster::CallerUrl(size_t vm) const {
+  return Concat("http://", m_ip, ":", m_vms[vm]->m_callers);
+}
+
 void GatewayCluster::WriteSettings(size_t index) {
   const struct Vm& vm = *m_vms[index];
   const NetAddress store = vm.m_store_proxy != nullptr
@@ -184,8 +188,7 @@
 HttpAnswer GatewayCluster::Call(const GatewayRequest& request) {
   HttpCall call;
   call.m_method = request.m_method;
-  call.m_url = Concat("http://", m_ip, ":", m_vms[request.m_vm]->m_callers,
-                      request.m_target);
+  call.m_url = Concat(CallerUrl(request.m_vm), request.m_target);
   call.m_headers = request.m_headers;
   call.m_headers.push_back({"Host", "gateway.test"});
   if (!request.m_id.empty()) {
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -53,6 +53,7 @@
   ChildProcess& Vm(size_t index) { return m_vms[index]->m_process; }
   FaultProxy& StoreProxy(size_t index) { return *m_vms[index]->m_store_proxy; }
   std::string LogOf(size_t vm) const;
+  std::string CallerUrl(size_t vm) const;
 
   // The operator's configuration; change it, then call Publish().
   nlohmann::json& Config() { return m_config; }
