--- a/packages/base/text.cc
+++ b/packages/base/text.cc
@@ -7,11 +7,10 @@
 namespace bronzecross {
 
 bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](char left, char right) {
-                      return absl::ascii_tolower(left) ==
-                             absl::ascii_tolower(right);
-                    });
+  return std::equal(
+      a.begin(), a.end(), b.begin(), b.end(), [](char left, char right) {
+        return absl::ascii_tolower(left) == absl::ascii_tolower(right);
+      });
 }
 
 bool StartsWithIgnoreCase(std::string_view text, std::string_view prefix) {
--- a/packages/base/text.h
+++ b/packages/base/text.h
@@ -1,5 +1,5 @@
-// Text functions over std::string_view. Debian's Abseil has a string view type of
-// its own, to which the standard one doesn't convert.
+// Text functions over std::string_view. Debian's Abseil has a string view type
+// of its own, to which the standard one doesn't convert.
 
 #ifndef BRONZECROSS_BASE_TEXT_H_
 #define BRONZECROSS_BASE_TEXT_H_
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -38,6 +38,7 @@
 Task<> AnswerStoreCall(Node& node, HttpConnection& peer) {
   const MessageHead& head = peer.Parser().GetHead();
   KvCall call;
+  call.m_name = "relayed";
   call.m_method = std::string(head.Find(kPeerMethodField));
   call.m_target = std::string(head.Find(kPeerTargetField));
   call.m_body = std::move(peer.Parser().Body());
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -51,7 +51,9 @@
     : m_pool(address, kIdleConnection) {}
 
 Task<Result<KvReply>> KvSession::CallDirect(KvCall call, Millis deadline) {
-  CountMetric("bronzecross_store_calls_total");
+  CountMetric("bronzecross_store_calls_total", {{"call", call.m_name}});
+  Log(Severity::kDebug, LogPart::kStore, "Calling the store.",
+      {{"call", call.m_name}, {"target", call.m_target}});
   WholeRequest request;
   request.m_head.m_method = std::move(call.m_method);
   request.m_head.m_target = std::move(call.m_target);
--- a/packages/kv/kv_types.h
+++ b/packages/kv/kv_types.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -67,6 +68,7 @@
 
 // One HTTP exchange with the service.
 struct KvCall {
+  std::string_view m_name;  // for logs and metrics; a literal
   std::string m_method;
   std::string m_target;
   std::string m_body;
--- a/tests/measure/measure_log_cost.cc
+++ b/tests/measure/measure_log_cost.cc
@@ -59,7 +59,8 @@
   const int saved = dup(STDOUT_FILENO);
   dup2(ends[1], STDOUT_FILENO);
   InitBufferedLog(Severity::kInfo, LogFormat::kText);
-  const auto started = std::chrono::steady_clock::now();
+  const std::chrono::steady_clock::time_point started =
+      std::chrono::steady_clock::now();
   for (int i = 0; i < kLines; ++i) {
     WriteLine(i);
   }
--- a/tests/measure/measure_platform_cost.cc
+++ b/tests/measure/measure_platform_cost.cc
@@ -56,7 +56,8 @@
                       {"Authorization", "Bearer key-a"},
                       {"Deadline-Ms", "5000"}};
     call.m_body = "question";
-    const auto started = std::chrono::steady_clock::now();
+    const std::chrono::steady_clock::time_point started =
+        std::chrono::steady_clock::now();
     client.Call(call);
     const std::chrono::duration<double, std::milli> took =
         std::chrono::steady_clock::now() - started;
