Keep idle VMs from handing their rate tokens round

Ruled out: a bucket made late (the share was in use since -8.8 s) and a lost grant. Change: VMs without demand are filled only from what others hold above their own target. The new test fails before with 3.17 tokens received by idle VMs each round.

--- a/packages/quota/quota_test.cc
+++ b/packages/quota/quota_test.cc
@@ -52,6 +52,42 @@
   CHECK(PlanGrants(1.5, 2, 8, peers).empty());
 }
 
+// Idle VMs once handed all their tokens round, each reporting none in between,
+// so that a request found an empty bucket (cbes-gtd trouble-2, 0.2 s after the
+// start).
+TEST_CASE("idle VMs keep their tokens") {
+  constexpr uint32_t kVms = 6;
+  const TokenShare share = ShareOf(19, 19, kVms, true);
+  std::vector<PeerLevel> levels;
+  for (uint32_t vm = 0; vm < kVms; ++vm) {
+    levels.push_back({vm, 1, 0, 0});
+  }
+  for (int round = 0; round < 100; ++round) {
+    std::vector<double> received(kVms, 0);
+    std::vector<PeerLevel> next = levels;
+    for (uint32_t vm = 0; vm < kVms; ++vm) {
+      next[vm].m_tokens = std::min(
+          share.m_capacity, levels[vm].m_tokens + share.m_rate_per_s / 10);
+      std::vector<PeerLevel> peers = levels;
+      peers.erase(peers.begin() + vm);
+      for (const PlannedGrant& grant :
+           PlanGrants(next[vm].m_tokens, 0, share.m_capacity, peers)) {
+        next[vm].m_tokens -= grant.m_tokens;
+        received[grant.m_receiver.m_vm] += grant.m_tokens;
+      }
+    }
+    for (uint32_t vm = 0; vm < kVms; ++vm) {
+      CHECK(received[vm] < 0.5);
+      next[vm].m_tokens =
+          std::min(share.m_capacity, next[vm].m_tokens + received[vm]);
+    }
+    levels = next;
+  }
+  for (const PeerLevel& level : levels) {
+    CHECK(level.m_tokens == doctest::Approx(share.m_capacity));
+  }
+}
+
 TEST_CASE(
     "refused callers are spread over the time in which tokens are earned") {
   const TokenShare share{10, 5};
--- a/packages/quota/token_sharing.cc
+++ b/packages/quota/token_sharing.cc
@@ -14,6 +14,9 @@
 // Smaller grants aren't worth their bytes, in tokens.
 constexpr double kLeastGrant = 0.05;
 
+// A VM that expects fewer requests until its next news counts as idle.
+constexpr double kLeastDemand = 0.5;
+
 // What is left of an expectation after one news without demand.
 constexpr double kDemandDecay = 0.7;
 
@@ -49,35 +52,58 @@
   return std::clamp(wanted, 0.0, capacity);
 }
 
-}  // namespace
+bool HasDemand(const PeerLevel& peer) {
+  return peer.m_demand >= kLeastDemand || peer.m_tokens < 0;
+}
 
-double ExpectedDemand(double before, double asked) {
-  return std::max(asked, before * kDemandDecay);
+bool HasNoDemand(const PeerLevel& peer) {
+  return !HasDemand(peer);
 }
 
-std::vector<PlannedGrant> PlanGrants(double own,
-                                     double own_demand,
-                                     double capacity,
-                                     std::span<const PeerLevel> peers) {
-  std::vector<PlannedGrant> grants;
-  double spare = own - own_demand;
+// Gives up to `spare` tokens to the peers that `is_meant` holds for. Other VMs
+// with tokens do the same, so each gives a part.
+void GiveTo(std::span<const PeerLevel> peers,
+            bool (*is_meant)(const PeerLevel&),
+            double capacity,
+            double& spare,
+            std::vector<PlannedGrant>& grants) {
   double wanted = 0;
   int givers = 1;
   for (const PeerLevel& peer : peers) {
-    wanted += Wanted(peer, capacity);
+    wanted += is_meant(peer) ? Wanted(peer, capacity) : 0;
     givers += peer.m_tokens - peer.m_demand > kLeastGrant ? 1 : 0;
   }
   if (wanted <= 0 || spare < kLeastGrant) {
-    return grants;
+    return;
   }
   const double part = std::min(1.0 / givers, spare / wanted);
   for (const PeerLevel& peer : peers) {
-    const double amount = std::min(spare, Wanted(peer, capacity) * part);
+    const double amount =
+        is_meant(peer) ? std::min(spare, Wanted(peer, capacity) * part) : 0;
     if (amount >= kLeastGrant) {
       grants.push_back({peer, amount});
       spare -= amount;
     }
   }
+}
+
+}  // namespace
+
+double ExpectedDemand(double before, double asked) {
+  return std::max(asked, before * kDemandDecay);
+}
+
+std::vector<PlannedGrant> PlanGrants(double own,
+                                     double own_demand,
+                                     double capacity,
+                                     std::span<const PeerLevel> peers) {
+  std::vector<PlannedGrant> grants;
+  double spare = own - own_demand;
+  GiveTo(peers, HasDemand, capacity, spare, grants);
+  // A VM without callers is filled from what lies above the own target only:
+  // otherwise idle VMs would hand all their tokens round.
+  spare -= capacity * kTarget;
+  GiveTo(peers, HasNoDemand, capacity, spare, grants);
   return grants;
 }
 
