Remove a counter and an accessor that nothing uses

Ruled out for now: joining the two Task templates, whose promise differs in its return function. Checked: gateway builds, http1_test passes; other tests not rerun.

--- a/packages/http1/connection_pool.h
+++ b/packages/http1/connection_pool.h
@@ -26,7 +26,6 @@
   void Give(std::unique_ptr<HttpConnection> connection, Millis idle_until);
   void Give(std::unique_ptr<HttpConnection> connection);
   void Clear() { m_idle.clear(); }
-  size_t IdleCount() const { return m_idle.size(); }
 
   const NetAddress& GetAddress() const { return m_address; }
 
--- a/packages/http1/http_connection.h
+++ b/packages/http1/http_connection.h
@@ -57,7 +57,6 @@
 
   // Bookkeeping of a kept connection.
   Millis m_idle_until;  // when the peer may close it
-  int m_messages = 0;   // messages sent on it
 
  private:
   Task<bool> WaitReadable(Millis deadline);
