Let an empty ledger segment give way to one that begins elsewhere

When a copy is lost during a store outage, the writer makes empty copies of the next segment and can't save the index. If it has appended more by the time of the next move, that segment has the same number and a later first record; the copies still hold the empty one, answer with its start and are left out, so each later move ended in "no better copies" and the ledger stayed on two copies. A takeover could meet the same.

Ruled out: slow copies that are avoided for 10 s (the log names none in that test case), a lost record (the appends were acknowledged).

Change: a call that makes a segment replaces an empty one with another first record; one that holds records is a conflict, where before such a call could pass if its start was equal to the end of those records.

--- a/packages/ledger/copy_store.cc
+++ b/packages/ledger/copy_store.cc
@@ -109,14 +109,42 @@
   return written;
 }
 
+// A move to other copies that did not reach the index leaves an empty segment.
+// A later move uses its number again and begins elsewhere.
+Status CopyStore::RemoveUnused(LocalSegment& segment, bool create) {
+  const Status checked = segment.Check();
+  if (!checked) {
+    return checked;
+  }
+  if (!create || segment.IsDamaged() || segment.Next() != segment.First()) {
+    return Fail(ResultCode::kConflict, "the segment begins elsewhere here");
+  }
+  std::error_code error;
+  fs::remove(segment.Path(), error);
+  return error ? Status(Fail(ResultCode::kInternal,
+                             absl::StrCat("cannot remove ", segment.Path(),
+                                          ": ", error.message())))
+               : Status();
+}
+
 Result<LocalSegment*> CopyStore::Open(const CopyAppend& append,
                                       Ledger& ledger) {
+  // Only made when asked to: a copy that lost its disk has also forgotten
+  // the epochs it refused, and must not take a fenced writer's records.
+  const bool create = (append.m_bytes.empty() || append.m_repair) &&
+                      append.m_first == append.m_segment_first;
   auto found = ledger.m_segments.find(append.m_segment);
+  if (found != ledger.m_segments.end() &&
+      found->second.First() != append.m_segment_first) {
+    const Status removed = RemoveUnused(found->second, create);
+    if (!removed) {
+      return tl::unexpected<Error>(removed.error());
+    }
+    ledger.m_segments.erase(found);
+    found = ledger.m_segments.end();
+  }
   if (found == ledger.m_segments.end()) {
-    // Only made when asked to: a copy that lost its disk has also forgotten
-    // the epochs it refused, and must not take a fenced writer's records.
-    const bool create = append.m_bytes.empty() || append.m_repair;
-    if (!create || append.m_first != append.m_segment_first) {
+    if (!create) {
       return Fail(ResultCode::kConflict, "the segment has no copy here");
     }
     const std::string path =
--- a/packages/ledger/copy_store.h
+++ b/packages/ledger/copy_store.h
@@ -108,6 +108,9 @@
   void Load(const std::string& name);
   Status RaiseEpoch(std::string_view name, Ledger& ledger, uint64_t epoch)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(ledger.m_mutex);
+  // Removes the file of an empty segment if `create` says that another one is
+  // to be made. Fails with kConflict if it holds records.
+  static Status RemoveUnused(LocalSegment& segment, bool create);
   Result<LocalSegment*> Open(const CopyAppend& append, Ledger& ledger)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(ledger.m_mutex);
 
--- a/packages/ledger/copy_store_test.cc
+++ b/packages/ledger/copy_store_test.cc
@@ -80,6 +80,31 @@
   CHECK(store.Read("led", 0, 299, 1000)->m_bytes == Records(299, 300));
 }
 
+// Guards against a writer that can never move on: a move that the store did not
+// take leaves empty copies, and the next move begins at a later record.
+TEST_CASE("an empty segment gives way to one that begins elsewhere") {
+  Folder folder;
+  {
+    CopyStore store(folder.m_path, kRoomy);
+    Fill(store, 30);
+    CHECK(store.Append({"led", 1, 30, 1, 30, ""}) == 30);
+    CHECK(store.Append({"led", 1, 40, 1, 40, ""}) == 40);
+    // Only a call that makes a segment may do so.
+    CHECK(CodeOf(store.Append({"led", 1, 50, 1, 50, Records(50, 51)})) ==
+          ResultCode::kConflict);
+    CHECK(store.Append({"led", 1, 40, 1, 40, Records(40, 45)}) == 45);
+    // Records are never given up.
+    for (const uint64_t first : {45, 50}) {
+      CHECK(CodeOf(store.Append({"led", 1, first, 1, first, ""})) ==
+            ResultCode::kConflict);
+    }
+  }
+  CopyStore store(folder.m_path, kRoomy);
+  CHECK(store.State("led", 1).m_next == 45);
+  CHECK(store.Read("led", 1, 40, 10'000)->m_bytes == Records(40, 45));
+  CHECK(store.State("led", 0).m_next == 30);
+}
+
 // Guards against a torn tail that stops a copy, and against damage that passes
 // for a torn tail and so for a shorter valid copy.
 TEST_CASE("torn tails are cut back and damage is reported") {
--- a/tests/integration/replicated_ledger_test.cc
+++ b/tests/integration/replicated_ledger_test.cc
@@ -214,6 +214,30 @@
   CHECK(ReadAll(vm, "led") == MakeRecords(0, 50));
 }
 
+// Guards against a writer that stays with too few copies: the move to other
+// copies fails with the store, and the next one begins at a later record.
+TEST_CASE("a move that fails with the store is made later") {
+  Cluster cluster(Options(4));
+  LedgerVm vm(cluster, "tester-0");
+  Writer writer = *vm.Ledger().Create("led");
+  REQUIRE(writer->Append(MakeRecords(0, 10)) == 0);
+  const int killed = HolderOf(vm, "led", 0);
+  KvFaults faults;
+  faults.m_outage = true;
+  cluster.Kv().SetFaults(faults);
+  cluster.Vm(killed).Kill();
+  REQUIRE(writer->Append(MakeRecords(10, 10)) == 10);
+  // Moves are tried once a second.
+  SleepFor(Millis(2'500));
+  REQUIRE(writer->Append(MakeRecords(20, 10)) == 20);
+  cluster.Kv().SetFaults({});
+  CHECK(WaitFor([&] {
+    return vm.Indexes().Load("led")->m_index.m_segments.back().m_first >= 20;
+  }));
+  REQUIRE(writer->Append(MakeRecords(30, 10)) == 30);
+  CHECK(ReadAll(vm, "led") == MakeRecords(0, 40));
+}
+
 // Guards against two writers on the two sides of a partition.
 TEST_CASE("a writer parted from most copies acknowledges nothing") {
   ClusterOptions options = Options(3);
