Probe an upstream that failed as soon as its probe is due

A VM that only heard of another VM's open breaker, or whose own became half-open, sent the probe only if the engine's cost was the lowest. Its cost is a guess, the mean of the other engines, so with engines of unequal learned times it never was.

Ruled out: breakers that stay open (the longest is 8 s and both VMs asked), the failing answers (they were switched off).

Change: the decision takes an upstream whose probe is due first, one request at a time, and not if that would queue. A failed probe of an upstream whose breaker is open at a peer opens this VM's breaker at once instead of after three.

--- a/packages/routing/choose_upstream.cc
+++ b/packages/routing/choose_upstream.cc
@@ -58,6 +58,9 @@
       continue;
     }
     const double cost = ExpectedCost(candidates[i]);
+    if (candidates[i].m_probe_due) {
+      return RouteDecision{i, cost};
+    }
     if (!best || cost < best->m_cost) {
       best = RouteDecision{i, cost};
       equals = 1;
--- a/packages/routing/choose_upstream.h
+++ b/packages/routing/choose_upstream.h
@@ -35,6 +35,8 @@
   double m_prefix_match = 0;
   // The upstream that all VMs prefer for a prefix that none has seen.
   bool m_prefix_home = false;
+  // It failed, may be tried again, and no request has tried it yet.
+  bool m_probe_due = false;
   // This VM's preference among equals, 0 to 1. It differs between VMs, so that
   // VMs with the same late information choose differently.
   double m_preference = 0;
@@ -55,7 +57,9 @@
 
 // Picks the candidate with the least cost, at random among equals. Returns
 // nothing if all candidates are full or there are none. While one candidate has
-// a free slot, a faster one may be overfilled slightly if its cost is lower.
+// a free slot, a faster one may be overfilled slightly if its cost is lower. A
+// candidate whose probe is due goes first, since its cost is a guess that could
+// keep it unused although it works again.
 std::optional<RouteDecision> ChooseUpstream(
     std::span<const UpstreamView> candidates,
     Random& random);
--- a/packages/routing/choose_upstream_test.cc
+++ b/packages/routing/choose_upstream_test.cc
@@ -49,6 +49,19 @@
   CHECK(ChooseUpstream(views, random)->m_index == 1);
 }
 
+// Guards against an upstream that works again and stays unused.
+TEST_CASE("an upstream whose probe is due is tried before a cheaper one") {
+  Random random(1);
+  std::vector<UpstreamView> views = {View(100, 0), View(130, 0)};
+  CHECK(ChooseUpstream(views, random)->m_index == 0);
+  views[1].m_probe_due = true;
+  CHECK(ChooseUpstream(views, random)->m_index == 1);
+  // A probe that waits behind other requests would tell nothing soon.
+  views[1] = View(130, 6);
+  views[1].m_probe_due = true;
+  CHECK(ChooseUpstream(views, random)->m_index == 0);
+}
+
 // Guards against a new or restarted replica that gets a burst at once.
 TEST_CASE("a replica without answers gets one request, then its share") {
   Random random(1);
--- a/packages/upstreams/upstream_record.cc
+++ b/packages/upstreams/upstream_record.cc
@@ -16,6 +16,14 @@
   return now - peer.m_told_at < kPeerCountLife;
 }
 
+// Whether the peer's breaker is open and this VM has had no answer since.
+bool IsOpenAt(const PeerRecord& peer,
+              const UpstreamRecord& record,
+              Millis now) {
+  return IsFresh(peer, now) && peer.m_open_since != Millis(0) &&
+         record.m_breaker.m_last_success < peer.m_open_since;
+}
+
 }  // namespace
 
 PeerTotals SumPeers(const UpstreamRecord& record, Millis now) {
@@ -38,13 +46,23 @@
 }
 
 bool IsTrippedByPeer(const UpstreamRecord& record, Millis now) {
+  return std::any_of(record.m_peers.begin(), record.m_peers.end(),
+                     [&](const auto& entry) {
+                       const PeerRecord& peer = entry.second;
+                       return IsOpenAt(peer, record, now) &&
+                              now - peer.m_open_since < kPeerTripLife;
+                     });
+}
+
+bool IsOpenAtPeer(const UpstreamRecord& record, Millis now) {
   return std::any_of(
-      record.m_peers.begin(), record.m_peers.end(), [&](const auto& entry) {
-        const PeerRecord& peer = entry.second;
-        return IsFresh(peer, now) && peer.m_open_since != Millis(0) &&
-               now - peer.m_open_since < kPeerTripLife &&
-               record.m_breaker.m_last_success < peer.m_open_since;
-      });
+      record.m_peers.begin(), record.m_peers.end(),
+      [&](const auto& entry) { return IsOpenAt(entry.second, record, now); });
+}
+
+bool IsProbeDue(const UpstreamRecord& record, Millis now) {
+  return record.m_counts->m_online + record.m_counts->m_batch == 0 &&
+         (IsOpen(record.m_breaker) || IsOpenAtPeer(record, now));
 }
 
 bool IsReserved(const UpstreamRecord& record, Millis now) {
--- a/packages/upstreams/upstream_record.h
+++ b/packages/upstreams/upstream_record.h
@@ -62,9 +62,17 @@
 // The learned service time of all VMs together.
 ServiceTime SharedServiceTime(const UpstreamRecord& record);
 
-// Whether another VM's breaker is open and this VM has had no answer since.
+// Whether another VM's breaker opened lately and this VM has had no answer
+// since. After a few seconds this VM tries for itself.
 bool IsTrippedByPeer(const UpstreamRecord& record, Millis now);
 
+// The same without an end: one more failure here opens this VM's breaker too.
+bool IsOpenAtPeer(const UpstreamRecord& record, Millis now);
+
+// Whether the upstream failed here or at another VM and no request of this VM
+// is finding out whether it works again. Asked for upstreams that may be tried.
+bool IsProbeDue(const UpstreamRecord& record, Millis now);
+
 // Whether another VM keeps the upstream free, or this VM does.
 bool IsReserved(const UpstreamRecord& record, Millis now);
 
--- a/packages/upstreams/upstream_registry.cc
+++ b/packages/upstreams/upstream_registry.cc
@@ -177,6 +177,7 @@
   view.m_same_zone =
       spec.m_availability_zone == m_membership.Self().m_availability_zone;
   view.m_prefix_match = PrefixMatch(record.m_prefixes, need.m_prefixes, now);
+  view.m_probe_due = IsProbeDue(record, now);
   view.m_preference = UnitHash(spec.m_name, Hash64(m_membership.Self().m_id));
   return view;
 }
@@ -439,7 +440,11 @@
     absl::MutexLock lock(&m_mutex);
     UpstreamRecord& record = FindOrAdd(name);
     record.m_active_at = now;
-    if (!NoteOutcome(record.m_breaker, failed, now)) {
+    const bool was_probe = IsOpenAtPeer(record, now);
+    const bool opened = NoteOutcome(record.m_breaker, failed, now);
+    if (!opened && failed && was_probe && !IsOpen(record.m_breaker)) {
+      OpenBreaker(record.m_breaker, now);
+    } else if (!opened) {
       return;
     }
     open_for = record.m_breaker.m_open_for;
--- a/packages/upstreams/upstream_section_test.cc
+++ b/packages/upstreams/upstream_section_test.cc
@@ -25,11 +25,13 @@
   CHECK(SumPeers(receiver["e"], now).m_online == 3);
   CHECK(SumPeers(receiver["e"], now).m_batch == 2);
   CHECK(IsTrippedByPeer(receiver["e"], now));
+  CHECK(IsProbeDue(receiver["e"], now));
   CHECK(OtherLoad(receiver["e"].m_reported, now) == doctest::Approx(4));
   CHECK(IsLeavingForPeer(receiver["f"], now));
 
   NoteOutcome(receiver["e"].m_breaker, false, now + Millis(1));
   CHECK_FALSE(IsTrippedByPeer(receiver["e"], now + Millis(1)));
+  CHECK_FALSE(IsProbeDue(receiver["e"], now + Millis(1)));
 
   record = UpstreamRecord();
   TakeUpstreamSection(receiver, "vm-1", MakeUpstreamSection(sender, {}, now),
--- a/tests/integration/online_failures_test.cc
+++ b/tests/integration/online_failures_test.cc
@@ -188,6 +188,37 @@
   }));
 }
 
+// Guards against an engine that works again and gets no request, since the
+// learned time of another one is below the mean of all.
+TEST_CASE("an engine that works again is tried beside a faster one") {
+  Cluster cluster(Options(3, 3));
+  cluster.Engine(0).FailNext(1000, 500);
+  int asked = 0;
+  CHECK(WaitFor([&] {
+    ++asked;
+    const std::string prompt = "fails " + std::to_string(asked);
+    CHECK(cluster.Caller().Chat(Request(cluster, asked % 3, prompt)).m_correct);
+    return cluster.Engine(0).Refused() >= 3;
+  }));
+  cluster.Engine(2).SetSlowdown(10);
+  for (int i = 0; i < 6; ++i) {
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 12; ++caller) {
+      callers.emplace_back([&cluster, caller] {
+        cluster.Caller().Chat(Request(cluster, caller % 3, "learn"));
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+  }
+  cluster.Engine(0).FailNext(0, 500);
+  CHECK(WaitFor([&] {
+    cluster.Caller().Chat(Request(cluster, 0, "probe"));
+    return cluster.Engine(0).Finished() > 0;
+  }));
+}
+
 // Guards against work sent to an upstream that the platform takes away.
 TEST_CASE("a leaving engine gets nothing new after a few seconds") {
   Cluster cluster(Options(2, 3));
