Answer HEAD requests without waiting for a body

Cause: MessageParser::ExpectNoBody was never called, so the answer of an upstream to a HEAD request was complete only at the deadline (504 in the test), and the gateway's own refusals carried a body that the caller would read as the next response.

Change: the call to the upstream expects no body, the answer states the length that the upstream states, refusals leave the body out, a streaming route passes the head on at once.

--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -64,6 +64,9 @@
     m_upstream->m_pool.Give(std::move(m_connection));
     co_return CallState::kCancelled;
   }
+  if (request.m_head->m_method == "HEAD") {
+    m_connection->Parser().ExpectNoBody();
+  }
   m_connection->Queue(WriteRequestHead(*request.m_head));
   m_connection->Queue(request.m_body);
   m_sent = MonotonicNow();
@@ -126,6 +129,9 @@
           co_return CallState::kBroken;
         }
         m_connection->StartNextMessage();
+        if (request.m_head->m_method == "HEAD") {
+          m_connection->Parser().ExpectNoBody();
+        }
         continue;
       }
       m_connection->Parser().Body().clear();
@@ -160,6 +166,10 @@
   return m_connection->Parser().GetState() == ParseState::kComplete;
 }
 
+int64_t UpstreamCall::DeclaredLength() const {
+  return m_connection->Parser().ContentLength();
+}
+
 Task<CallState> UpstreamCall::ReadBody(std::string& body,
                                        Millis deadline,
                                        Condition* stop) {
--- a/packages/dispatch/upstream_call.h
+++ b/packages/dispatch/upstream_call.h
@@ -57,6 +57,8 @@
   Task<CallState> ReadBody(std::string& body, Millis deadline, Condition* stop);
   // Whether the answer is complete.
   bool IsComplete() const;
+  // The body length that the answer's head states; -1: none.
+  int64_t DeclaredLength() const;
   // Keeps the connection for a further request if it may carry one.
   void Finish();
 
--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -58,6 +58,14 @@
 // Advice to callers that come before the first configuration was read.
 constexpr Millis kRetryWhenConfigured{500};
 
+void QueueReply(const Node& node,
+                HttpConnection& caller,
+                const IncomingRequest& request,
+                const CallerReply& reply) {
+  caller.Queue(
+      reply.Serialize(node.m_draining_since == Millis(), request.WantedBody()));
+}
+
 // Counts an open connection while it lives.
 class CallerCount {
  public:
@@ -195,7 +203,7 @@
         request.m_config == nullptr ? 0 : request.m_config->m_version}});
   CountMetric("bronzecross_requests_total",
               {{"outcome", GetResultCodeInfo(error.m_code).m_name}});
-  caller.Queue(reply.Serialize(node.m_draining_since == Millis()));
+  QueueReply(node, caller, request, reply);
 }
 
 // Serves a request that was read. Returns false if the connection is to be
@@ -211,12 +219,12 @@
   const platform::JobCall call = platform::DecodeJobCall(request.m_head);
   if (call.m_kind != platform::JobCallKind::kNone) {
     const CallerReply reply = co_await ServeJobCall(node, request, call);
-    caller.Queue(reply.Serialize(node.m_draining_since == Millis()));
+    QueueReply(node, caller, request, reply);
     co_return true;
   }
   if (request.m_route->m_kind == RouteKind::kBatch) {
     const CallerReply reply = co_await ServeSubmission(node, request);
-    caller.Queue(reply.Serialize(node.m_draining_since == Millis()));
+    QueueReply(node, caller, request, reply);
     co_return true;
   }
   if (request.m_workspace != nullptr) {
--- a/packages/gateway/caller_reply.cc
+++ b/packages/gateway/caller_reply.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-std::string CallerReply::Serialize(bool keep_alive) const {
+std::string CallerReply::Serialize(bool keep_alive, ResponseBody wanted) const {
   MessageHead head;
   head.m_status = m_status;
   if (!m_body.empty()) {
@@ -30,7 +30,11 @@
   if (!keep_alive) {
     head.Add("Connection", "close");
   }
-  return WriteResponseHead(head) + m_body;
+  std::string text = WriteResponseHead(head);
+  if (wanted == ResponseBody::kSent) {
+    text += m_body;
+  }
+  return text;
 }
 
 int StatusOf(const Error& error) {
--- a/packages/gateway/caller_reply.h
+++ b/packages/gateway/caller_reply.h
@@ -10,6 +10,8 @@
 
 namespace bronzecross {
 
+enum class ResponseBody { kSent, kNone };
+
 // A whole response with a body.
 struct CallerReply {
   int m_status = 200;
@@ -17,7 +19,8 @@
   std::string m_body;
   Millis m_retry_after;  // zero: no advice
 
-  std::string Serialize(bool keep_alive) const;
+  std::string Serialize(bool keep_alive,
+                        ResponseBody wanted = ResponseBody::kSent) const;
 };
 
 // The response to a request that failed with `error`. A status that promises
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -66,6 +66,10 @@
   CHECK(text.find("Retry-After: 1.25\r\n") != std::string::npos);
   CHECK(text.find("Connection: close\r\n") != std::string::npos);
   CHECK(text.find("\"run\":\"not_run\"") != std::string::npos);
+  // A body would be read as the next response.
+  CHECK(ReplyOf(error)
+            .Serialize(true, ResponseBody::kNone)
+            .ends_with("\r\n\r\n"));
 }
 
 }  // namespace
--- a/packages/gateway/incoming_request.h
+++ b/packages/gateway/incoming_request.h
@@ -7,6 +7,7 @@
 
 #include "aio/cancellation.h"
 #include "fleet/fleet_config.h"
+#include "gateway/caller_reply.h"
 #include "http1/http_connection.h"
 #include "platform/request_headers.h"
 
@@ -21,6 +22,12 @@
   FleetConfigPtr m_config;
   const Route* m_route = nullptr;
   const Workspace* m_workspace = nullptr;  // null on public routes
+
+  // A HEAD request's response has the fields of its body, but no body.
+  ResponseBody WantedBody() const {
+    return m_head.m_method == "HEAD" ? ResponseBody::kNone
+                                     : ResponseBody::kSent;
+  }
 };
 
 // Cancels work when the caller has closed its connection.
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -188,8 +188,10 @@
     co_return AttemptEnd::kElsewhere;
   }
   AttemptEnd end = AttemptEnd::kFailed;
-  if (route.m_kind == RouteKind::kStreaming &&
-      call.Head().m_status == kOkStatus) {
+  const bool is_stream = route.m_kind == RouteKind::kStreaming &&
+                         call.Head().m_status == kOkStatus &&
+                         m_request.WantedBody() == ResponseBody::kSent;
+  if (is_stream) {
     end = co_await PassOnStream(call, *upstream);
   } else if (!m_stream_begun) {
     const Millis started = MonotonicNow();
@@ -223,7 +225,12 @@
   }
   MessageHead head = platform::EncodeReturnedHead(call.Head());
   const int status = head.m_status;
-  if (status != 204 && status != 304) {
+  if (m_request.WantedBody() == ResponseBody::kNone) {
+    // The length that the upstream states for the body that it leaves out.
+    if (call.DeclaredLength() >= 0) {
+      head.Add("Content-Length", Concat(call.DeclaredLength()));
+    }
+  } else if (status != 204 && status != 304) {
     head.Add("Content-Length", Concat(body.size()));
   }
   if (m_node.m_draining_since != Millis()) {
@@ -326,7 +333,8 @@
   error.m_run = m_runs > 0 ? RunState::kUnknown : RunState::kNotRun;
   error.m_retry_after = retry_after;
   const CallerReply reply = ReplyOf(error);
-  m_caller.Queue(reply.Serialize(m_node.m_draining_since == Millis()));
+  m_caller.Queue(reply.Serialize(m_node.m_draining_since == Millis(),
+                                 m_request.WantedBody()));
   LogEnd(GetResultCodeInfo(code).m_name, reply.m_status);
   return ServeEnd::kAnswered;
 }
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -66,6 +66,26 @@
   CHECK(seen);
 }
 
+// Guards against a HEAD request that waits for a body until its deadline, and
+// against responses to one that carry a body.
+TEST_CASE("a HEAD request gets the head of the upstream's answer") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  GatewayRequest request = MakeRequest("/plain/x", "r1");
+  request.m_method = "HEAD";
+  request.m_body = "";
+  const Millis asked = MonotonicNow();
+  const HttpAnswer answer = cluster.Call(request);
+  CHECK(answer.m_status == 200);
+  CHECK(answer.m_body.empty());
+  CHECK(FindHeader(answer.m_headers, "Content-Length") ==
+        Concat(PlatformReplicaStandin::PlainBody("r1").size()));
+  CHECK(MonotonicNow() - asked < Millis(2'000));
+  request.m_target = "/stream/x";
+  CHECK(cluster.Call(request).m_status == 200);
+  request.m_target = "/nowhere/x";
+  CHECK(cluster.Call(request).m_status == 404);
+}
+
 TEST_CASE("unknown routes and keys are refused") {
   GatewayCluster cluster(GatewayClusterOptions{});
   CHECK(cluster.Call(MakeRequest("/nowhere/x", "r1")).m_status == 404);
