Let requests that come before the first configuration wait for it

After a loss of power of all VMs, callers come back within the 25 ms between the first accepted connection and the first read of the configuration; 76 of them at 13.6 s and 36 at 35.6 s were refused with 503 stale_config and came again later than needed.

Ruled out: a slow store (its first reply came after 15 ms), missing upstreams (read in the same moment).

--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -64,6 +64,7 @@
        {"routes", config->m_routes.size()},
        {"workspaces", config->m_workspaces.size()}});
   m_config = std::move(config);
+  m_configured.NotifyAll();
 }
 
 void Node::DispatchAll() {
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -47,6 +47,7 @@
   VmRegistration m_registration;
   // Null until the first configuration was read.
   FleetConfigPtr m_config;
+  Condition m_configured;
   UpstreamTable m_upstreams;
   QuotaKeeper m_quotas;
   std::map<std::string, SlotQueue, std::less<>> m_queues;
@@ -58,6 +59,7 @@
   PrefixFollower* m_operator = nullptr;
   PrefixFollower* m_upstream_list = nullptr;
 
+  const Millis m_started = MonotonicNow();
   // Zero until the process was told to stop.
   Millis m_draining_since;
   Condition m_drain_started;
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -86,6 +86,38 @@
   CHECK(cluster.Call(request).m_status == 404);
 }
 
+// Guards against refusals in the moment between the first accepted connection
+// and the first read of the configuration (incident inc-8184 on cbes-gtd: 76
+// requests in 25 ms).
+TEST_CASE("a VM that has just started serves what comes before it is ready") {
+  GatewayClusterOptions options;
+  options.m_vms = 1;
+  options.m_store_proxies = true;
+  GatewayCluster cluster(options);
+  cluster.Vm(0).Kill();
+  ProxyFaults faults;
+  faults.m_delay = Millis(20);
+  cluster.StoreProxy(0).SetFaults(faults);
+  cluster.StartVm(0);
+  HttpAnswer answer;
+  CHECK(WaitFor([&] {
+    answer = cluster.Call(MakeRequest("/plain/x", "r1"));
+    return answer.m_status != 0;
+  }));
+  CHECK(answer.m_status == 200);
+
+  // While the store is away, requests are refused at once.
+  cluster.Vm(0).Kill();
+  faults.m_refuse = true;
+  cluster.StoreProxy(0).SetFaults(faults);
+  cluster.StartVm(0);
+  SleepFor(Millis(1'000));
+  const Millis asked = MonotonicNow();
+  answer = cluster.Call(MakeRequest("/plain/x", "r2"));
+  CHECK(answer.m_status == 503);
+  CHECK(MonotonicNow() - asked < Millis(250));
+}
+
 TEST_CASE("unknown routes and keys are refused") {
   GatewayCluster cluster(GatewayClusterOptions{});
   CHECK(cluster.Call(MakeRequest("/nowhere/x", "r1")).m_status == 404);
