Divide a large fleet into cells and keep each limit at a home VM

Cause: each VM told all others everything ten times a second and more, and added up what all of them told at each message. A limit was split into 63 parts of at least one token, which both refuses callers inside a small rate and lets more through than its burst.

Change: up to 16 VMs nothing changes. Above, VMs of one zone form cells of about ten that share everything; others get brief news every 0.8 s. The upstreams of a zone are divided among its cells and the rest is used when these are full. Each workspace's rate tokens are kept by one VM, or by one for each 150 requests a second, chosen by rendezvous hashing; the others ask it for each request, and a VM that becomes the home begins without tokens. In the exchange between few VMs the peers' demand was decoded but never used; now it is.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -148,6 +148,25 @@
   return count;
 }
 
+void ClusterView::RefreshCell(Millis now) {
+  std::vector<CellMember> members;
+  for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
+    if (IsPresent(entry->second, now)) {
+      members.push_back({entry->first, entry->second.m_record.m_zone});
+    }
+  }
+  Cell cell = FindCell(m_self.m_id, m_self.m_zone, members);
+  if (cell.m_count != m_cell.m_count ||
+      cell.m_is_whole_fleet != m_cell.m_is_whole_fleet) {
+    Log(Severity::kInfo, LogPart::kMembership, "The fleet is divided anew.",
+        {{"members", cell.m_fleet_size},
+         {"cells_of_zone", cell.m_count},
+         {"cell", cell.m_index},
+         {"cell_size", cell.m_size}});
+  }
+  m_cell = std::move(cell);
+}
+
 std::string ClusterView::FirstVmFor(std::string_view key, Millis now) const {
   const uint64_t seed = Hash64(key);
   std::string_view best = m_self.m_id;
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cluster/cell.h"
 #include "cluster/peer_news.h"
 #include "cluster/vm_record.h"
 #include "kv/kv_types.h"
@@ -64,6 +65,9 @@
   int CountMembers(Millis now) const;
   // How many peers were heard from lately, this VM included.
   int CountHeard(Millis now) const;
+  // The VMs that this one shares its load with, as of the last RefreshCell().
+  const Cell& OwnCell() const { return m_cell; }
+  void RefreshCell(Millis now);
   // The live VM that comes first in the order of `key`, by rendezvous hashing.
   std::string FirstVmFor(std::string_view key, Millis now) const;
 
@@ -72,6 +76,7 @@
 
   VmRecord m_self;
   bool m_self_listed = false;
+  Cell m_cell;
   bool m_replaces_earlier_self = false;
   std::map<std::string, PeerVm, std::less<>> m_peers;
 };
--- a/packages/cluster/peer_news.cc
+++ b/packages/cluster/peer_news.cc
@@ -66,6 +66,15 @@
   return static_cast<uint32_t>(Hash64(id));
 }
 
+PeerNews BriefNews(PeerNews news) {
+  news.m_uses.clear();
+  news.m_levels.clear();
+  news.m_grants.clear();
+  news.m_backlogs.clear();
+  news.m_queues.clear();
+  return news;
+}
+
 std::string EncodeNews(const PeerNews& news) {
   json uses = json::array();
   for (const UpstreamUse& use : news.m_uses) {
--- a/packages/cluster/peer_news.h
+++ b/packages/cluster/peer_news.h
@@ -84,6 +84,9 @@
 // 32 bits of the hash of an id, to keep news short.
 uint32_t ShortHash(std::string_view id);
 
+// The part of the news that VMs of other cells need.
+PeerNews BriefNews(PeerNews news);
+
 std::string EncodeNews(const PeerNews& news);
 // Nothing if `bytes` is no news.
 std::optional<PeerNews> DecodeNews(std::string_view bytes);
--- a/packages/dispatch/dispatch_test.cc
+++ b/packages/dispatch/dispatch_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "dispatch/event_splitter.h"
+#include "dispatch/near_upstreams.h"
 #include "dispatch/pick_upstream.h"
 #include "dispatch/queue_order.h"
 #include "dispatch/upstream_health.h"
@@ -207,5 +208,34 @@
   }
 }
 
+// Guards against cells that all fill the same upstreams, and against upstreams
+// that no cell uses.
+TEST_CASE("the cells of a zone divide its upstreams") {
+  std::vector<UpstreamPlace> places;
+  for (uint32_t i = 0; i < 24; ++i) {
+    places.push_back({i * 7'919, i % 2 == 0 ? "a" : "b"});
+  }
+  Cell cell;
+  CHECK(FindNearUpstreams(places, cell, "a") == std::vector<bool>(24, true));
+  cell.m_is_whole_fleet = false;
+  cell.m_count = 3;
+  std::vector<int> users(24, 0);
+  for (cell.m_index = 0; cell.m_index < 3; ++cell.m_index) {
+    const std::vector<bool> near = FindNearUpstreams(places, cell, "a");
+    for (size_t i = 0; i < near.size(); ++i) {
+      users[i] += near[i] ? 1 : 0;
+    }
+  }
+  for (size_t i = 0; i < users.size(); ++i) {
+    CHECK(users[i] == (i % 2 == 0 ? 1 : 0));
+  }
+  cell.m_index = 0;
+  // Too few to divide, and none in the zone.
+  places.resize(4);
+  CHECK(FindNearUpstreams(places, cell, "a") ==
+        std::vector<bool>{true, false, true, false});
+  CHECK(FindNearUpstreams(places, cell, "c") == std::vector<bool>(4, true));
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -52,7 +52,16 @@
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
                                                  candidates[i]->m_entry.m_id);
   }
-  const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
+  std::vector<UpstreamLoad> near = loads;
+  for (size_t i = 0; i < near.size(); ++i) {
+    near[i].m_usable = near[i].m_usable && candidates[i]->m_is_near;
+  }
+  std::optional<size_t> choice = PickUpstream(near, ThreadRandom());
+  // The load of the other cells' upstreams isn't known, but a guess is better
+  // than to wait.
+  if (!choice) {
+    choice = PickUpstream(loads, ThreadRandom());
+  }
   if (!choice) {
     return nullptr;
   }
@@ -127,12 +136,16 @@
       state.m_waiting += queue.m_service == service ? queue.m_waiting : 0;
     }
   }
+  int near_slots = 0;
   for (const UpstreamPtr& upstream : m_upstreams.OfService(m_service)) {
     if (upstream->TakesRequests() &&
         IsHealthy(upstream->m_health, kSilencePatience, now)) {
       state.m_slots += upstream->m_entry.m_slots;
+      near_slots += upstream->m_is_near ? upstream->m_entry.m_slots : 0;
     }
   }
+  // The requests counted above are those of this VM's cell.
+  state.m_slots = near_slots > 0 ? near_slots : state.m_slots;
   state.m_service_ms = m_service_ms;
   return state;
 }
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -20,6 +20,9 @@
   uint32_t m_hash;  // ShortHash of its id
   // No longer registered: it gets no new requests.
   bool m_gone = false;
+  // Whether this VM's cell uses it first (near_upstreams.h).
+  bool m_is_near = true;
+
   ConnectionPool m_pool;
   UpstreamHealth m_health;
 
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "base/log.h"
+#include "dispatch/near_upstreams.h"
 #include "platform/upstream_entry.h"
 
 namespace bronzecross {
@@ -136,6 +137,20 @@
   }
 }
 
+void UpstreamTable::RefreshNear(const Cell& cell, std::string_view zone) {
+  for (auto entry = m_by_service.begin(); entry != m_by_service.end();
+       ++entry) {
+    std::vector<UpstreamPlace> places;
+    for (const UpstreamPtr& upstream : entry->second) {
+      places.push_back({upstream->m_hash, upstream->m_entry.m_zone});
+    }
+    const std::vector<bool> near = FindNearUpstreams(places, cell, zone);
+    for (size_t i = 0; i < near.size(); ++i) {
+      entry->second[i]->m_is_near = near[i];
+    }
+  }
+}
+
 void UpstreamTable::OnPeerUses(const ClusterView& cluster, Millis now) {
   absl::flat_hash_map<uint32_t, UpstreamUse> sums;
   for (auto entry = cluster.Peers().begin(); entry != cluster.Peers().end();
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -25,6 +25,8 @@
   // Drops entries whose removal was postponed. Call it regularly.
   void DropPostponed(Millis now);
   // Sums up what the peers have in flight.
+  // Decides anew which upstreams this VM uses first.
+  void RefreshNear(const Cell& cell, std::string_view zone);
   void OnPeerUses(const ClusterView& cluster, Millis now);
 
   bool IsLoaded() const { return m_loaded; }
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -137,6 +137,7 @@
   m_node.m_news = &m_news;
   m_node.m_jobs = &m_jobs;
   m_node.m_peer_calls = &m_peer_calls;
+  m_node.m_quotas.SetCalls(&m_peer_calls);
   m_node.m_operator = &m_operator;
   m_node.m_upstream_list = &m_upstreams;
   m_node.m_kv.SetRelay(&m_peer_calls);
@@ -296,6 +297,9 @@
     const Millis now = MonotonicNow();
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
+    m_node.m_cluster.RefreshCell(now);
+    m_node.m_upstreams.RefreshNear(m_node.m_cluster.OwnCell(),
+                                   m_node.m_settings.m_zone);
     const int members = m_node.m_cluster.CountMembers(now);
     const int heard = m_node.m_cluster.CountHeard(now);
     const bool is_lease_held = m_node.m_registration.IsLeaseHeld();
--- a/packages/gateway/news_exchange.cc
+++ b/packages/gateway/news_exchange.cc
@@ -13,6 +13,14 @@
 // News are sent at least so often.
 constexpr Millis kRegularInterval{100};
 
+// News to VMs of other cells, which say who is alive and owns which jobs. Three
+// fit into the time for which a peer counts as heard.
+constexpr Millis kBriefInterval{800};
+
+// In large fleets brief news are sent less often, so that each VM sends at most
+// 80 a second. Then only the store tells who is alive.
+constexpr Millis kBriefPerPeer{12};
+
 // And at most so often.
 constexpr Millis kLeastInterval{20};
 
@@ -63,15 +71,30 @@
   return news;
 }
 
+void NewsExchange::SendNews(Millis now) {
+  PeerNews news = MakeNews(now);
+  const std::string whole = EncodeNews(news);
+  const Cell& cell = m_node.m_cluster.OwnCell();
+  std::string brief;
+  if (!cell.m_is_whole_fleet && now >= m_next_brief) {
+    brief = EncodeNews(BriefNews(std::move(news)));
+    m_next_brief =
+        now + std::max(kBriefInterval, kBriefPerPeer * cell.m_fleet_size);
+  }
+  for (auto entry = m_node.m_cluster.Peers().begin();
+       entry != m_node.m_cluster.Peers().end(); ++entry) {
+    const std::string& bytes = cell.Contains(entry->first) ? whole : brief;
+    if (!bytes.empty()) {
+      m_socket->Send(entry->second.m_record.m_address, bytes);
+    }
+  }
+}
+
 Task<> NewsExchange::Run() {
   for (;;) {
     const Millis sent = MonotonicNow();
     m_soon = false;
-    const std::string bytes = EncodeNews(MakeNews(sent));
-    for (auto entry = m_node.m_cluster.Peers().begin();
-         entry != m_node.m_cluster.Peers().end(); ++entry) {
-      m_socket->Send(entry->second.m_record.m_address, bytes);
-    }
+    SendNews(sent);
     while (!m_soon && MonotonicNow() < sent + kRegularInterval) {
       WaitAny wait(sent + kRegularInterval);
       wait.Add(m_soon_changed);
@@ -97,8 +120,11 @@
   }
   m_node.m_operator->OnPeerChange(peer->m_news.m_operator_change, now);
   m_node.m_upstream_list->OnPeerChange(peer->m_news.m_upstream_change, now);
-  m_node.m_quotas.OnNews(peer->m_news, m_sequence, now);
   m_node.m_jobs->OnNews(peer->m_news, now);
+  if (!m_node.m_cluster.OwnCell().Contains(peer->m_record.m_id)) {
+    return;
+  }
+  m_node.m_quotas.OnNews(peer->m_news, m_sequence, now);
   m_node.m_upstreams.OnPeerUses(m_node.m_cluster, now);
   m_node.m_jobs->Scheduler().YieldOverfull();
   m_node.DispatchAll();
--- a/packages/gateway/news_exchange.h
+++ b/packages/gateway/news_exchange.h
@@ -25,10 +25,13 @@
  private:
   void OnDatagram(std::string_view bytes);
   PeerNews MakeNews(Millis now);
+  // Whole news to the VMs of this cell, at times brief ones to all others.
+  void SendNews(Millis now);
 
   Node& m_node;
   std::unique_ptr<DatagramSocket> m_socket;
   uint64_t m_sequence = 0;
+  Millis m_next_brief;
   bool m_soon = false;
   Condition m_soon_changed;
 };
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "base/text.h"
 
 namespace bronzecross {
 namespace {
@@ -21,7 +22,12 @@
 // Time given to one peer for a store call, beside the wait of a watch.
 constexpr Millis kRelayTimeout{900};
 
+// Added to the patience of a request for a rate token: the way to the other VM
+// and back, with a new connection.
+constexpr Millis kTokenCallTime{60};
+
 constexpr int kOkStatus = 200;
+constexpr int kTooManyStatus = 429;
 
 }  // namespace
 
@@ -71,6 +77,38 @@
   return peers;
 }
 
+Task<Status> PeerCalls::AskForToken(std::string vm,
+                                    std::string request_id,
+                                    std::string workspace,
+                                    Millis patience) {
+  WholeRequest request;
+  request.m_head.m_method = "POST";
+  request.m_head.m_target = std::string(kPeerTokenPath);
+  request.m_head.Add(kPeerRequestField, request_id);
+  request.m_head.Add(kPeerWorkspaceField, workspace);
+  request.m_head.Add(kPeerPatienceField, Concat(patience.count()));
+  const Result<WholeResponse> response =
+      co_await Call(std::move(vm), std::move(request),
+                    MonotonicNow() + patience + kTokenCallTime);
+  if (!response) {
+    co_return tl::unexpected<Error>(response.error());
+  }
+  const MessageHead& head = response->m_head;
+  if (head.m_status == kOkStatus) {
+    co_return Status();
+  }
+  if (head.m_status != kTooManyStatus) {
+    co_return Fail(ResultCode::kPeerUnavailable,
+                   Concat("the VM answered with status ", head.m_status));
+  }
+  Error error;
+  error.m_code = ResultCode::kRateLimited;
+  error.m_message = Concat("workspace ", workspace, " is over its rate");
+  error.m_retry_after =
+      Millis(ParseDecimal(head.Find(kPeerRetryField)).value_or(0));
+  co_return tl::unexpected<Error>(error);
+}
+
 bool PeerCalls::CanRelay() const {
   return !RelayPeers().empty();
 }
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -1,5 +1,6 @@
 // Calls between VMs over kept HTTP/1.1 connections: store calls carried for a
-// VM that the store turns away, and calls about jobs for the VM that runs them.
+// VM that the store turns away, calls about jobs for the VM that runs them, and
+// requests for rate tokens.
 
 #ifndef BRONZECROSS_GATEWAY_PEER_CALLS_H_
 #define BRONZECROSS_GATEWAY_PEER_CALLS_H_
@@ -15,6 +16,7 @@
 #include "http1/connection_pool.h"
 #include "http1/exchange.h"
 #include "kv/kv_session.h"
+#include "quota/quota_keeper.h"
 
 namespace bronzecross {
 
@@ -22,6 +24,7 @@
 inline constexpr std::string_view kPeerStorePath = "/peer/store";
 inline constexpr std::string_view kPeerJobPath = "/peer/job/";
 inline constexpr std::string_view kPeerVmsPath = "/peer/vms";
+inline constexpr std::string_view kPeerTokenPath = "/peer/token";
 
 // Fields of the calls.
 inline constexpr std::string_view kPeerMethodField = "X-Method";
@@ -29,8 +32,13 @@
 inline constexpr std::string_view kPeerStatusField = "X-Status";
 inline constexpr std::string_view kPeerContentTypeField = "X-Content-Type";
 inline constexpr std::string_view kPeerRunField = "X-Run";
+inline constexpr std::string_view kPeerWorkspaceField = "X-Workspace";
+inline constexpr std::string_view kPeerRequestField = "X-Request";
+// In milliseconds.
+inline constexpr std::string_view kPeerPatienceField = "X-Patience";
+inline constexpr std::string_view kPeerRetryField = "X-Retry-After";
 
-class PeerCalls : public StoreRelay {
+class PeerCalls : public StoreRelay, public TokenCalls {
  public:
   explicit PeerCalls(const ClusterView& cluster) : m_cluster(cluster) {}
 
@@ -47,6 +55,11 @@
   // Tries one peer after the other.
   Task<Result<KvReply>> Relay(KvCall call, Millis deadline) override;
 
+  Task<Status> AskForToken(std::string vm,
+                           std::string request_id,
+                           std::string workspace,
+                           Millis patience) override;
+
  private:
   // Peers heard from lately that reach the store.
   std::vector<std::string> RelayPeers() const;
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/text.h"
+#include "gateway/incoming_request.h"
 #include "gateway/job_calls.h"
 #include "gateway/peer_calls.h"
 #include "http1/write_message.h"
@@ -64,6 +65,35 @@
   QueueReply(peer, std::move(answer), reply.m_body);
 }
 
+// A rate token of a workspace whose limit is kept here.
+Task<> AnswerTokenCall(Node& node, HttpConnection& peer) {
+  const MessageHead head = peer.Parser().GetHead();
+  const FleetConfigPtr config = node.m_config;
+  const Workspace* workspace =
+      config == nullptr
+          ? nullptr
+          : FindWorkspaceByName(*config, head.Find(kPeerWorkspaceField));
+  const std::optional<int64_t> patience =
+      ParseDecimal(head.Find(kPeerPatienceField));
+  if (workspace == nullptr || !patience) {
+    QueueReply(peer, MakeHead(404), "");
+    co_return;
+  }
+  CallerCancellation cancellation(peer);
+  const Status admitted = co_await node.m_quotas.AdmitForPeer(
+      std::string(head.Find(kPeerRequestField)), *workspace, Millis(*patience),
+      cancellation);
+  if (!admitted && admitted.error().m_code != ResultCode::kRateLimited) {
+    QueueReply(peer, MakeHead(404), "");
+    co_return;
+  }
+  MessageHead answer = MakeHead(admitted ? 200 : 429);
+  if (!admitted) {
+    answer.Add(kPeerRetryField, Concat(admitted.error().m_retry_after.count()));
+  }
+  QueueReply(peer, std::move(answer), "");
+}
+
 // The VMs that this one knows, for a VM that starts while the store is away.
 void AnswerVms(Node& node, HttpConnection& peer) {
   nlohmann::json list = nlohmann::json::array();
@@ -92,6 +122,8 @@
     const std::string target = peer.Parser().GetHead().m_target;
     if (target == kPeerStorePath) {
       co_await AnswerStoreCall(node, peer);
+    } else if (target == kPeerTokenPath) {
+      co_await AnswerTokenCall(node, peer);
     } else if (target.starts_with(kPeerJobPath)) {
       co_await AnswerJobCall(node, peer);
     } else if (target == kPeerVmsPath) {
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -223,7 +223,8 @@
       if (own == 0) {
         break;
       }
-      if (!upstream->TakesRequests() ||
+      // The other cells fill the rest, whose load isn't known here.
+      if (!upstream->m_is_near || !upstream->TakesRequests() ||
           !IsHealthy(upstream->m_health, kSilencePatience, now)) {
         continue;
       }
--- a/packages/quota/quota_keeper.cc
+++ b/packages/quota/quota_keeper.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 
 #include "aio/wait.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/text.h"
+#include "quota/token_home.h"
 
 namespace bronzecross {
 namespace {
@@ -12,12 +14,24 @@
 // A grant for news this many sequences back may be a delayed copy.
 constexpr uint64_t kGrantWindow = 12;
 
+// How often a VM of a divided fleet finds out whose tokens it keeps.
+constexpr Millis kHomeCheckInterval{500};
+
+// Advice to a caller whose workspace's home can't be asked. Another VM is the
+// home once the registration of the lost one has ended.
+constexpr Millis kRetryWithoutHome{700};
+
 // How long it takes until another VM's tokens arrive.
 constexpr Millis kGrantTime{35};
 
 }  // namespace
 
 TokenShare QuotaKeeper::Share(const Account& account, Millis now) const {
+  if (IsDivided()) {
+    const double part = static_cast<double>(account.m_parts) / account.m_homes;
+    return ShareOf(account.m_rate_per_s * part, account.m_burst * part, 1,
+                   m_entitled && account.m_parts > 0);
+  }
   return ShareOf(account.m_rate_per_s, account.m_burst,
                  m_cluster.CountMembers(now), m_entitled);
 }
@@ -31,18 +45,60 @@
                       now);
 }
 
-QuotaKeeper::Account& QuotaKeeper::AccountOf(const Workspace& workspace,
-                                             Millis now) {
-  std::unique_ptr<Account>& account = m_accounts[ShortHash(workspace.m_name)];
+QuotaKeeper::AccountPtr QuotaKeeper::AccountOf(const Workspace& workspace,
+                                               Millis now) {
+  AccountPtr& account = m_accounts[ShortHash(workspace.m_name)];
   if (account == nullptr) {
-    account = std::make_unique<Account>();
+    account = std::make_shared<Account>();
     account->m_name = workspace.m_name;
     account->m_bucket.m_refilled = now;
   }
   account->m_rate_per_s = workspace.m_rate_per_s;
   account->m_burst = workspace.m_burst;
   Refill(*account, now);
-  return *account;
+  return account;
+}
+
+void QuotaKeeper::RefreshHomes(const FleetConfig& config, Millis now) {
+  if (now < m_next_home_check) {
+    return;
+  }
+  m_next_home_check = now + kHomeCheckInterval;
+  for (const Workspace& workspace : config.m_workspaces) {
+    const int homes = CountHomes(workspace.m_rate_per_s);
+    int parts = 0;
+    for (int i = 0; i < homes && workspace.m_rate_per_s > 0; ++i) {
+      parts +=
+          FindHome(m_cluster, workspace.m_name, i, now) == m_cluster.Self().m_id
+              ? 1
+              : 0;
+    }
+    if (parts == 0) {
+      m_accounts.erase(ShortHash(workspace.m_name));
+      continue;
+    }
+    const AccountPtr account = AccountOf(workspace, now);
+    account->m_parts = parts;
+    account->m_homes = homes;
+  }
+}
+
+absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> QuotaKeeper::AllLevels(
+    Millis now) const {
+  absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> levels;
+  for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
+       ++entry) {
+    const PeerVm& peer = entry->second;
+    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
+      continue;
+    }
+    const uint32_t id = ShortHash(entry->first);
+    for (const TokenLevel& level : peer.m_news.m_levels) {
+      levels[level.m_workspace].push_back(
+          {id, peer.m_news.m_sequence, level.m_tokens, level.m_demand});
+    }
+  }
+  return levels;
 }
 
 std::vector<PeerLevel> QuotaKeeper::LevelsOf(uint32_t workspace,
@@ -119,9 +175,58 @@
   if (workspace.m_rate_per_s <= 0) {
     co_return Status();
   }
+  const std::string& self = m_cluster.Self().m_id;
+  std::string home = self;
+  if (IsDivided() && m_calls != nullptr) {
+    const int homes = CountHomes(workspace.m_rate_per_s);
+    const int index =
+        static_cast<int>(Hash64(self) % static_cast<uint64_t>(homes));
+    home = FindHome(m_cluster, workspace.m_name, index, MonotonicNow());
+  }
+  Status admitted;
+  if (home == self) {
+    admitted =
+        co_await AdmitHere(request_id, workspace, patience, cancellation);
+  } else {
+    admitted = co_await m_calls->AskForToken(home, request_id, workspace.m_name,
+                                             patience);
+  }
+  if (!admitted && admitted.error().m_code != ResultCode::kRateLimited) {
+    Log(Severity::kWarning, LogPart::kLimits, "No answer about a rate token.",
+        {{"request", request_id},
+         {"workspace", workspace.m_name},
+         {"home", home},
+         {"reason", admitted.error().m_message}});
+    Error error;
+    error.m_code = ResultCode::kRateLimited;
+    error.m_message = "the VM that keeps the workspace's limit can't be asked";
+    error.m_retry_after = kRetryWithoutHome;
+    co_return tl::unexpected<Error>(error);
+  }
+  co_return admitted;
+}
+
+Task<Status> QuotaKeeper::AdmitForPeer(std::string request_id,
+                                       const Workspace& workspace,
+                                       Millis patience,
+                                       Cancellation& cancellation) {
+  if (!m_accounts.contains(ShortHash(workspace.m_name))) {
+    co_return Fail(ResultCode::kPeerUnavailable,
+                   "the workspace's limit isn't kept here");
+  }
+  Status admitted =
+      co_await AdmitHere(request_id, workspace, patience, cancellation);
+  co_return admitted;
+}
+
+Task<Status> QuotaKeeper::AdmitHere(std::string request_id,
+                                    const Workspace& workspace,
+                                    Millis patience,
+                                    Cancellation& cancellation) {
   const uint32_t id = ShortHash(workspace.m_name);
   const Millis until = MonotonicNow() + patience;
-  Account& account = AccountOf(workspace, MonotonicNow());
+  const AccountPtr kept = AccountOf(workspace, MonotonicNow());
+  Account& account = *kept;
   account.m_asked += 1;
   if (account.m_waiting == 0 && TakeTokens(account.m_bucket, 1)) {
     co_return Status();
@@ -167,18 +272,24 @@
 void QuotaKeeper::AddToNews(const FleetConfig& config,
                             PeerNews& news,
                             Millis now) {
+  if (IsDivided()) {
+    RefreshHomes(config, now);
+    return;
+  }
+  absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> levels = AllLevels(now);
   for (const Workspace& workspace : config.m_workspaces) {
     if (workspace.m_rate_per_s <= 0) {
       continue;
     }
     const uint32_t id = ShortHash(workspace.m_name);
-    Account& account = AccountOf(workspace, now);
+    const AccountPtr kept = AccountOf(workspace, now);
+    Account& account = *kept;
     const double capacity = Share(account, now).m_capacity;
     account.m_demand = ExpectedDemand(account.m_demand, account.m_asked);
     account.m_asked = 0;
     const double own = account.m_bucket.m_tokens - account.m_waiting;
     for (const PlannedGrant& grant :
-         PlanGrants(own, account.m_demand, capacity, LevelsOf(id, now))) {
+         PlanGrants(own, account.m_demand, capacity, levels[id])) {
       TakeTokens(account.m_bucket, grant.m_tokens);
       news.m_grants.push_back({grant.m_receiver.m_vm, id, grant.m_tokens,
                                grant.m_receiver.m_sequence});
--- a/packages/quota/quota_keeper.h
+++ b/packages/quota/quota_keeper.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,19 +22,45 @@
 
 namespace bronzecross {
 
+// Asks another VM for a token of a workspace.
+class TokenCalls {
+ public:
+  virtual ~TokenCalls() = default;
+  // Fails with kRateLimited as QuotaKeeper::AdmitHere() does at the other VM,
+  // or with kPeerUnavailable.
+  virtual Task<Status> AskForToken(std::string vm,
+                                   std::string request_id,
+                                   std::string workspace,
+                                   Millis patience) = 0;
+};
+
 class QuotaKeeper {
  public:
   // `send_news` sends this VM's news to the others without delay.
   QuotaKeeper(const ClusterView& cluster, std::function<void()> send_news)
       : m_cluster(cluster), m_send_news(std::move(send_news)) {}
 
-  // Takes a token for one request. If other VMs have tokens, or one is earned
-  // soon, waits up to `patience` for it. Fails with kRateLimited and the best
-  // time to come back.
+  // `calls` must outlive this object. Needed in a divided fleet.
+  void SetCalls(TokenCalls* calls) { m_calls = calls; }
+
+  // Takes a token for one request, in a divided fleet from the workspace's home
+  // VM. Fails with kRateLimited and the best time to come back.
   Task<Status> Admit(std::string request_id,
                      const Workspace& workspace,
                      Millis patience,
                      Cancellation& cancellation);
+  // The same for a request of another VM, which takes this one for the home.
+  // Fails with kPeerUnavailable if it isn't.
+  Task<Status> AdmitForPeer(std::string request_id,
+                            const Workspace& workspace,
+                            Millis patience,
+                            Cancellation& cancellation);
+  // Takes one of this VM's tokens. If other VMs have tokens, or one is earned
+  // soon, waits up to `patience` for it.
+  Task<Status> AdmitHere(std::string request_id,
+                         const Workspace& workspace,
+                         Millis patience,
+                         Cancellation& cancellation);
 
   // Follows whether this VM may use its share.
   void SetEntitled(bool entitled, Millis now);
@@ -46,6 +73,10 @@
  private:
   struct Account {
     std::string m_name;
+    // Parts of the limit that this VM keeps in a divided fleet, and their
+    // number.
+    int m_parts = 0;
+    int m_homes = 1;
     double m_rate_per_s = 0;
     double m_burst = 0;
     TokenBucket m_bucket;
@@ -57,9 +88,18 @@
     Condition m_tokens_added;
   };
 
-  Account& AccountOf(const Workspace& workspace, Millis now);
+  using AccountPtr = std::shared_ptr<Account>;
+
+  bool IsDivided() const { return !m_cluster.OwnCell().m_is_whole_fleet; }
+  // Keeps accounts of the workspaces that have their home here, and only these:
+  // a VM that gets to be a home begins without tokens.
+  void RefreshHomes(const FleetConfig& config, Millis now);
+  AccountPtr AccountOf(const Workspace& workspace, Millis now);
   TokenShare Share(const Account& account, Millis now) const;
   void Refill(Account& account, Millis now);
+  // The levels of the peers, of all workspaces.
+  absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> AllLevels(
+      Millis now) const;
   std::vector<PeerLevel> LevelsOf(uint32_t workspace, Millis now) const;
   // Tokens that the other VMs told of.
   double TokensElsewhere(uint32_t workspace, Millis now) const;
@@ -74,7 +114,9 @@
   std::function<void()> m_send_news;
   bool m_entitled = false;
   // By ShortHash of the workspace's name.
-  absl::flat_hash_map<uint32_t, std::unique_ptr<Account>> m_accounts;
+  absl::flat_hash_map<uint32_t, AccountPtr> m_accounts;
+  TokenCalls* m_calls = nullptr;
+  Millis m_next_home_check;
 };
 
 }  // namespace bronzecross
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -289,6 +289,33 @@
                 Millis(2'000)));
 }
 
+// Guards against a fleet that is too large for a small limit: a part of the
+// burst at each VM either refuses callers inside their rate or, with at least
+// one token each, lets through more than the limit.
+TEST_CASE("many VMs keep a small limit as one") {
+  constexpr int kVms = 18;
+  constexpr double kRate = 4;
+  constexpr double kBurst = 8;
+  GatewayClusterOptions options;
+  options.m_vms = kVms;
+  options.m_rate_per_s = kRate;
+  options.m_burst = kBurst;
+  GatewayCluster cluster(options);
+  SleepFor(Millis(6'000));
+  const Millis began = MonotonicNow();
+  int served = 0;
+  for (int i = 0; i < 2 * kVms; ++i) {
+    GatewayRequest request = MakeRequest("/plain/x", Concat("r", i));
+    request.m_vm = i % kVms;
+    const int status = cluster.Call(request).m_status;
+    CHECK((status == 200 || status == 429));
+    served += status == 200 ? 1 : 0;
+  }
+  const double most = kBurst + kRate * (MonotonicNow() - began).Seconds();
+  CHECK(served >= static_cast<int>(kBurst));
+  CHECK(served <= most + 1);
+}
+
 // The store may keep a watch open and tell nothing on it (hunt on cbes-gtd, mix
 // --seed 568653566410): the VM served an old configuration for 28 s.
 TEST_CASE("a VM whose watches tell nothing learns of changes from its peers") {
