Let registrations and watches follow the size of the fleet

Each of 63 VMs renewed its lease every 1.4 s, and each change of the list of upstreams ended 63 watches: 2,016 watch calls came from the ten seconds in which replicas register.

Ruled out: batch work (809 transactions of 5,360 calls, by debug lines).

Change: the lease is 0.1 s for each VM of the fleet, 3 s at least and 30 s at most; a VM replaces its lease when the fleet has doubled or halved. Lists of upstreams and VMs are gathered 8 ms for each VM, 0.1 s at least and 0.6 s at most; a VM counts as behind only after two such pauses. Nothing changes up to 30 and 12 VMs.

--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "cluster/cluster_view.h"
+#include "cluster/vm_registration.h"
 
 namespace bronzecross {
 namespace {
@@ -35,6 +36,18 @@
   return news;
 }
 
+// Guards against renewals in proportion to the fleet.
+TEST_CASE("the renewals of a large fleet stay within the store's rate") {
+  CHECK(RegistrationTtl(1) == Millis(3'000));
+  CHECK(RegistrationTtl(16) == Millis(3'000));
+  CHECK(RegistrationTtl(63) == Millis(6'300));
+  for (const int vms : {63, 300, 1'600}) {
+    // Two renewals fit into a lease.
+    const double renewals = vms * 2 / RegistrationTtl(vms).Seconds();
+    CHECK(renewals <= 115);
+  }
+}
+
 TEST_CASE("news survive encoding, and nothing else is taken for news") {
   PeerNews news = News(Record("b", 7), 9);
   news.m_uses = {{1, 2, 3, 1}};
--- a/packages/cluster/vm_registration.cc
+++ b/packages/cluster/vm_registration.cc
@@ -1,32 +1,56 @@
 #include "cluster/vm_registration.h"
 
+#include <algorithm>
+
 #include "aio/wait.h"
 #include "base/log.h"
 
 namespace bronzecross {
 namespace {
 
-// How long the registration of a VM that died stays. Short, since its share of
-// the limits and its jobs wait for that.
-constexpr Millis kLeaseTtl{3'000};
+// Bounds of the lease, and its length for each VM of the fleet. The length
+// keeps the renewals of all VMs at about 22 a second from 30 VMs on, and the
+// longest one, of 1,600 VMs, at 114.
+constexpr Millis kShortestTtl{3'000};
+constexpr Millis kTtlPerVm{100};
+constexpr Millis kLongestTtl{30'000};
 
 // Two renewals fit into a lease, with time for one that first waits for a dead
 // path. Renewals are the most frequent calls of a quiet day.
-constexpr Millis kRenewEvery{1'400};
+constexpr Millis kRenewMargin{200};
+
+// A lease is replaced if it is so many times too short or too long, so that
+// single VMs that come and go cost nothing.
+constexpr int64_t kTtlTolerance = 2;
+
+Millis RenewInterval(Millis ttl) {
+  return ttl / 2 - kRenewMargin / 2;
+}
 
 // Pause after a failed call.
 constexpr Millis kRetryPause{120};
 
 }  // namespace
 
+Millis RegistrationTtl(int vms) {
+  return std::clamp(kTtlPerVm * vms, kShortestTtl, kLongestTtl);
+}
+
+bool VmRegistration::IsTtlOutdated() const {
+  const Millis wanted = RegistrationTtl(m_fleet_size);
+  return wanted >= m_ttl * kTtlTolerance || m_ttl >= wanted * kTtlTolerance;
+}
+
 Task<bool> VmRegistration::Grant() {
   const Millis asked = BootNow();
-  const Result<KvLease> lease = co_await m_kv.GrantLease(kLeaseTtl);
+  const Result<KvLease> lease =
+      co_await m_kv.GrantLease(RegistrationTtl(m_fleet_size));
   if (!lease) {
     co_return false;
   }
   m_lease = lease->m_id;
-  m_held_until = asked + lease->m_ttl;
+  m_ttl = lease->m_ttl;
+  m_held_until = asked + m_ttl;
   m_written = false;
   co_return true;
 }
@@ -50,11 +74,32 @@
   co_return m_written;
 }
 
+Task<bool> VmRegistration::Replace() {
+  const Millis asked = BootNow();
+  const Result<KvLease> lease =
+      co_await m_kv.GrantLease(RegistrationTtl(m_fleet_size));
+  if (!lease) {
+    co_return false;
+  }
+  const int64_t old = m_lease;
+  m_lease = lease->m_id;
+  const bool moved = co_await Write();
+  if (!moved) {
+    // The record may lie under either lease; the next steps renew this one and
+    // write again.
+    co_return false;
+  }
+  m_ttl = lease->m_ttl;
+  m_held_until = asked + m_ttl;
+  co_await m_kv.EndLease(old);
+  co_return true;
+}
+
 Task<bool> VmRegistration::Renew() {
   const Millis asked = BootNow();
   const Status kept = co_await m_kv.KeepLease(m_lease);
   if (kept) {
-    m_held_until = asked + kLeaseTtl;
+    m_held_until = asked + m_ttl;
     co_return true;
   }
   if (kept.error().m_code == ResultCode::kNotFound) {
@@ -73,6 +118,8 @@
       done = co_await Grant();
     } else if (!m_written) {
       done = co_await Write();
+    } else if (IsTtlOutdated()) {
+      done = co_await Replace();
     } else {
       done = co_await Renew();
     }
@@ -80,7 +127,7 @@
     if (is_complete) {
       // A renewal that first tried a dead path took long; the next one is due
       // as usual.
-      co_await WaitAny(began + kRenewEvery);
+      co_await WaitAny(began + RenewInterval(m_ttl));
     } else if (!done) {
       co_await Sleep(kRetryPause);
     }
--- a/packages/cluster/vm_registration.h
+++ b/packages/cluster/vm_registration.h
@@ -8,6 +8,11 @@
 
 namespace bronzecross {
 
+// How long the registration of a VM that died stays in a fleet of `vms`: short,
+// since its part of the limits and its jobs wait for that, and longer in a
+// large fleet, since each renewal is a write to the one service.
+Millis RegistrationTtl(int vms);
+
 class VmRegistration {
  public:
   VmRegistration(KvSession& kv, VmRecord self)
@@ -18,6 +23,9 @@
   // Ends the lease, so that the others need not wait for it.
   Task<> End();
 
+  // The lease follows the size of the fleet at a later renewal.
+  void SetFleetSize(int vms) { m_fleet_size = vms; }
+
   // Whether the lease is known to hold. Counted in time that also passes while
   // the VM is suspended.
   bool IsLeaseHeld() const;
@@ -27,9 +35,14 @@
   Task<bool> Grant();
   Task<bool> Write();
   Task<bool> Renew();
+  // Moves the record to a lease of another length.
+  Task<bool> Replace();
+  bool IsTtlOutdated() const;
 
   KvSession& m_kv;
   VmRecord m_self;
+  int m_fleet_size = 1;
+  Millis m_ttl;
   int64_t m_lease = 0;     // 0: none
   bool m_written = false;  // the record, under this lease
   Millis m_held_until;     // on the clock of BootNow()
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -23,6 +23,11 @@
 // How often postponed removals and shares of the limits are looked at.
 constexpr Millis kUpkeepEvery{100};
 
+// The longest pause leaves most of the time in which a draining upstream must
+// get no more requests, which is seconds.
+constexpr Millis kGatherPerVm{8};
+constexpr Millis kLongestGatherTime{600};
+
 // After the others count it a VM waits this long before it uses its share of
 // the limits, so that the others have reduced theirs.
 constexpr Millis kShareDelay{800};
@@ -291,6 +296,17 @@
   }
 }
 
+namespace {
+
+// How long changes of the lists of upstreams and VMs are gathered. Each change
+// ends the watch of each VM, and the new watches are priced.
+Millis GatherTime(int vms) {
+  return std::clamp(kGatherPerVm * vms, kShortestGatherTime,
+                    kLongestGatherTime);
+}
+
+}  // namespace
+
 Task<> Gateway::RunUpkeep() {
   Millis counted_since;  // zero: not yet
   for (;;) {
@@ -298,6 +314,10 @@
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
     m_node.m_cluster.RefreshCell(now);
+    const Millis gather = GatherTime(m_node.m_cluster.OwnCell().m_fleet_size);
+    m_upstreams.SetGatherTime(gather);
+    m_vms.SetGatherTime(gather);
+    m_node.m_registration.SetFleetSize(m_node.m_cluster.OwnCell().m_fleet_size);
     m_node.m_upstreams.RefreshNear(m_node.m_cluster.OwnCell(),
                                    m_node.m_settings.m_zone);
     const int members = m_node.m_cluster.CountMembers(now);
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -12,13 +12,9 @@
 // probes find a silent connection much sooner.
 constexpr Millis kWatchWait{28'000};
 
-// Pause before the next watch after events, so that changes which come close
-// together cost one call.
-constexpr Millis kGatherTime{100};
-
-// A VM that is behind another one for so long has lost a notice. Notices take a
-// few milliseconds, and VMs gather them for a tenth of a second.
-constexpr Millis kBehindLimit{350};
+// A VM that is behind another one for so long and two pauses after events has
+// lost a notice. Notices take a few milliseconds.
+constexpr Millis kBehindLimit{150};
 
 }  // namespace
 
@@ -55,7 +51,7 @@
       revision = std::max(revision, events->m_store_revision);
       m_known_up_to = std::max(m_known_up_to, revision);
       if (!events->m_events.empty()) {
-        co_await Sleep(kGatherTime);
+        co_await Sleep(m_gather_time);
       }
       continue;
     }
@@ -95,7 +91,8 @@
     m_behind_since = now;
     return;
   }
-  if (now - m_behind_since >= kBehindLimit && !m_reading_again) {
+  if (now - m_behind_since >= kBehindLimit + m_gather_time * 2 &&
+      !m_reading_again) {
     Log(Severity::kWarning, LogPart::kStore,
         "Another VM knows a later change; reading all again.",
         {{"prefix", m_prefix},
--- a/packages/kv/prefix_follower.h
+++ b/packages/kv/prefix_follower.h
@@ -12,6 +12,9 @@
 
 namespace bronzecross {
 
+// The pause after events in a small fleet.
+inline constexpr Millis kShortestGatherTime{100};
+
 struct PrefixHandlers {
   // All items. Those known before and not listed are gone.
   std::function<void(std::span<const KvItem>)> m_on_snapshot;
@@ -30,6 +33,10 @@
   // Runs until the process ends.
   Task<> Run();
 
+  // Pause after events, so that changes which come close together cost one
+  // call.
+  void SetGatherTime(Millis time) { m_gather_time = time; }
+
   // Revision of the last change seen, for other VMs.
   int64_t LastChange() const { return m_last_change; }
   // Another VM has seen a change at `revision`. Reads all again if this VM
@@ -50,6 +57,7 @@
   // Since when another VM has been ahead; zero: none is.
   Millis m_behind_since;
   bool m_reading_again = false;
+  Millis m_gather_time = kShortestGatherTime;
 };
 
 }  // namespace bronzecross
