--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -161,7 +161,8 @@
                                                               : kTimeout;
 }
 
-// After a start, callers are accepted a moment before the configuration is read.
+// After a start, callers are accepted a moment before the configuration is
+// read.
 Task<> WaitForFirstConfig(Node& node) {
   const Millis until = node.m_started + kFirstConfigTime;
   while (node.m_config == nullptr && MonotonicNow() < until) {
