Don't cut callers that connect late in a drain

Cause: while a VM stops, idle connections are closed 1.5 s after the start of the drain. A connection accepted after that whose request had not arrived at the first look counted as idle and was closed at once, without an answer, until the listener closed at 2.6 s.

Change: a connection has 0.5 s for its first request, whatever the age of the drain; after the listener closes, 0.15 s pass before the VM counts its requests for the last time.

--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -25,6 +25,10 @@
 // that requests under way to it are served.
 constexpr Millis kIdleWhileDraining{1'500};
 
+// A connection that was accepted later stays open for its first request so
+// long.
+constexpr Millis kFirstRequestTime{500};
+
 // Used until the first configuration is known.
 const CallerLimits& LimitsOf(const Node& node) {
   static const CallerLimits kDefaults;
@@ -85,7 +89,8 @@
 // Waits for the first byte of a request. Returns false if the connection is to
 // be closed.
 Task<bool> WaitForRequest(Node& node, HttpConnection& caller) {
-  const Millis idle_until = MonotonicNow() + LimitsOf(node).m_idle_timeout;
+  const Millis began = MonotonicNow();
+  const Millis idle_until = began + LimitsOf(node).m_idle_timeout;
   for (;;) {
     if (caller.Parser().HeadBytes() > 0 ||
         caller.Parser().GetState() != ParseState::kHead) {
@@ -100,7 +105,9 @@
     }
     Millis until = idle_until;
     if (node.m_draining_since != Millis()) {
-      until = std::min(until, node.m_draining_since + kIdleWhileDraining);
+      until =
+          std::min(until, std::max(node.m_draining_since + kIdleWhileDraining,
+                                   began + kFirstRequestTime));
     }
     if (MonotonicNow() >= until) {
       co_return false;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -39,6 +39,9 @@
 // a VM out after two failed checks, one a second.
 constexpr Millis kDrainNotice{2'600};
 
+// Requests on connections that were accepted last arrive within this time.
+constexpr Millis kLastArrivals{150};
+
 // How often the drain looks whether all requests have ended.
 constexpr Millis kDrainStep{50};
 
@@ -413,6 +416,7 @@
   co_await WaitAny(std::min(limit, started + kDrainNotice));
   // New callers are turned away from here on, so that none is cut at the end.
   m_caller_listener.reset();
+  co_await Sleep(kLastArrivals);
   bool released = false;
   while (MonotonicNow() < limit && (m_node.m_requests > 0 || !released)) {
     if (m_node.m_requests == 0) {
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -186,6 +186,11 @@
 }
 
 HttpAnswer GatewayCluster::Call(const GatewayRequest& request) {
+  Result<HttpAnswer> answer = TryCall(request);
+  return answer ? *std::move(answer) : HttpAnswer();
+}
+
+Result<HttpAnswer> GatewayCluster::TryCall(const GatewayRequest& request) {
   HttpCall call;
   call.m_method = request.m_method;
   call.m_url = Concat(CallerUrl(request.m_vm), request.m_target);
@@ -202,8 +207,7 @@
   call.m_body = request.m_body;
   call.m_timeout = kCallTimeout;
   call.m_fresh_connection = true;
-  Result<HttpAnswer> answer = m_http.Call(call);
-  return answer ? *std::move(answer) : HttpAnswer();
+  return m_http.Call(call);
 }
 
 std::string GatewayCluster::JobBody(std::string_view job, int items) {
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -61,6 +61,8 @@
 
   // Status 0: no whole answer came.
   HttpAnswer Call(const GatewayRequest& request);
+  // The same with the reason for which no whole answer came.
+  Result<HttpAnswer> TryCall(const GatewayRequest& request);
   // Whether the VM tells the load balancer that it is ready.
   bool IsReady(size_t vm);
   void StartVm(size_t vm);
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -5,7 +5,9 @@
 
 #include <signal.h>
 
+#include <atomic>
 #include <set>
+#include <thread>
 
 #include "base/text.h"
 #include "harness/cluster.h"
@@ -224,5 +226,45 @@
   CHECK(!FindHeader(answer.m_headers, "Retry-After").empty());
 }
 
+// Guards against callers that are accepted late in a drain and cut, at the end
+// of the drain or since a new connection counts as an idle one (rolling stops
+// on zagorje-dvori).
+TEST_CASE("no caller is cut while a stopping VM releases its jobs") {
+  GatewayClusterOptions options;
+  options.m_store_proxies = true;
+  options.m_engine.m_events = 8;
+  options.m_engine.m_event_gap = Millis(60);
+  GatewayCluster cluster(options);
+  CHECK(cluster.Call(Submission("job1", 40, 0)).m_status == 202);
+  ProxyFaults slow;
+  slow.m_delay = Millis(150);
+  cluster.StoreProxy(0).SetFaults(slow);
+  cluster.Vm(0).Signal(SIGTERM);
+  std::atomic<int> cut = 0;
+  std::atomic<int> served = 0;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 6; ++caller) {
+    callers.emplace_back([&, caller] {
+      const Millis until = MonotonicNow() + Millis(9'000);
+      for (int i = 0; MonotonicNow() < until; ++i) {
+        GatewayRequest request;
+        request.m_target = "/once/x";
+        request.m_id = Concat("c", caller, "-", i);
+        const Result<HttpAnswer> answer = cluster.TryCall(request);
+        served += answer ? 1 : 0;
+        if (!answer && answer.error().m_run == RunState::kNotRun) {
+          return;
+        }
+        cut += answer ? 0 : 1;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(served > 0);
+  CHECK(cut == 0);
+}
+
 }  // namespace
 }  // namespace bronzecross
