Remove a second body of Task, code that nothing uses, and text functions of Abseil

Task<void> repeated Task<T>; the value moves into the promise and one body serves both. EventLoop::Now() and the configuration's index by service were never read. Comparing, trimming and lowering text call Abseil over the conversion that Concat already uses.

--- a/packages/aio/event_loop.h
+++ b/packages/aio/event_loop.h
@@ -46,9 +46,6 @@
   void Run();
   void Stop() { m_stopped = true; }
 
-  // Monotonic time at the start of this iteration.
-  Millis Now() const { return m_now; }
-
   // Watches `fd` until Remove(). Returns the registration's id.
   uint64_t Add(int fd, IoTarget& target);
   void Remove(int fd, uint64_t id);
--- a/packages/aio/task.h
+++ b/packages/aio/task.h
@@ -35,51 +35,32 @@
   std::coroutine_handle<> m_continuation;
 };
 
+// Keeps a task's value until it is taken. The names of its functions are the
+// language's.
+template <typename T>
+struct ValuePromise : PromiseBase {
+  void return_value(T value) { m_value.emplace(std::move(value)); }
+  T Take() { return std::move(*m_value); }
+
+  std::optional<T> m_value;
+};
+
+template <>
+struct ValuePromise<void> : PromiseBase {
+  void return_void() {}
+  void Take() {}
+};
+
 }  // namespace internal
 
 template <typename T = void>
 class [[nodiscard]] Task {
  public:
-  // The names of this type and its functions are the language's.
-  struct promise_type : internal::PromiseBase {  // NOLINT
+  // The name is the language's.
+  struct promise_type : internal::ValuePromise<T> {  // NOLINT
     Task get_return_object() {
       return Task(std::coroutine_handle<promise_type>::from_promise(*this));
     }
-    void return_value(T value) { m_value.emplace(std::move(value)); }
-    std::optional<T> m_value;
-  };
-
-  Task(Task&& other) noexcept
-      : m_handle(std::exchange(other.m_handle, nullptr)) {}
-  Task& operator=(Task&&) = delete;
-  ~Task() {
-    if (m_handle) {
-      m_handle.destroy();
-    }
-  }
-
-  bool await_ready() const noexcept { return false; }
-  std::coroutine_handle<> await_suspend(std::coroutine_handle<> caller) {
-    m_handle.promise().m_continuation = caller;
-    return m_handle;
-  }
-  T await_resume() { return std::move(*m_handle.promise().m_value); }
-
- private:
-  explicit Task(std::coroutine_handle<promise_type> handle)
-      : m_handle(handle) {}
-
-  std::coroutine_handle<promise_type> m_handle;
-};
-
-template <>
-class [[nodiscard]] Task<void> {
- public:
-  struct promise_type : internal::PromiseBase {  // NOLINT
-    Task get_return_object() {
-      return Task(std::coroutine_handle<promise_type>::from_promise(*this));
-    }
-    void return_void() {}
   };
 
   Task(Task&& other) noexcept
@@ -96,7 +77,7 @@
     m_handle.promise().m_continuation = caller;
     return m_handle;
   }
-  void await_resume() {}
+  T await_resume() { return m_handle.promise().Take(); }
 
  private:
   explicit Task(std::coroutine_handle<promise_type> handle)
--- a/packages/base/text.cc
+++ b/packages/base/text.cc
@@ -1,38 +1,27 @@
 #include "base/text.h"
 
-#include <algorithm>
-
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 
 namespace bronzecross {
 
 bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
-  return std::equal(
-      a.begin(), a.end(), b.begin(), b.end(), [](char left, char right) {
-        return absl::ascii_tolower(left) == absl::ascii_tolower(right);
-      });
+  return absl::EqualsIgnoreCase(internal::ToAbsl(a), internal::ToAbsl(b));
 }
 
 bool StartsWithIgnoreCase(std::string_view text, std::string_view prefix) {
-  return EqualsIgnoreCase(text.substr(0, prefix.size()), prefix);
+  return absl::StartsWithIgnoreCase(internal::ToAbsl(text),
+                                    internal::ToAbsl(prefix));
 }
 
 std::string ToLower(std::string_view text) {
-  std::string lower(text);
-  for (char& c : lower) {
-    c = absl::ascii_tolower(c);
-  }
-  return lower;
+  return absl::AsciiStrToLower(internal::ToAbsl(text));
 }
 
 std::string_view TrimWhitespace(std::string_view text) {
-  while (!text.empty() && absl::ascii_isspace(text.front())) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && absl::ascii_isspace(text.back())) {
-    text.remove_suffix(1);
-  }
-  return text;
+  const absl::string_view rest =
+      absl::StripAsciiWhitespace(internal::ToAbsl(text));
+  return std::string_view(rest.data(), rest.size());
 }
 
 std::vector<std::string_view> Split(std::string_view text, char separator) {
--- a/packages/fleet/fleet_config.cc
+++ b/packages/fleet/fleet_config.cc
@@ -22,9 +22,6 @@
       config.m_by_key.emplace(key, &workspace);
     }
   }
-  for (const Service& service : config.m_services) {
-    config.m_by_service.emplace(service.m_name, &service);
-  }
 }
 
 const Route* FindRoute(const FleetConfig& config,
--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -85,7 +85,6 @@
   // Routes of a host, longest prefix first.
   std::map<std::string, std::vector<const Route*>, std::less<>> m_by_host;
   std::map<std::string, const Workspace*, std::less<>> m_by_key;
-  std::map<std::string, const Service*, std::less<>> m_by_service;
 
   FleetConfig() = default;
   FleetConfig(const FleetConfig&) = delete;
