Replace a lease by the steps that grant and write one

Replace() repeated Grant(). It now calls it. If the write fails, the next step writes again under the new lease; before, it first asked for another lease.

--- a/packages/cluster/vm_registration.cc
+++ b/packages/cluster/vm_registration.cc
@@ -50,7 +50,6 @@
   m_lease = lease->m_id;
   m_ttl = lease->m_ttl;
   m_held_until = asked + m_ttl;
-  m_written = false;
   co_return true;
 }
 
@@ -74,24 +73,18 @@
 }
 
 Task<bool> VmRegistration::Replace() {
-  const Millis asked = BootNow();
-  const Result<KvLease> lease =
-      co_await m_kv.GrantLease(RegistrationTtl(m_fleet_size));
-  if (!lease) {
+  const int64_t old = m_lease;
+  const bool granted = co_await Grant();
+  if (!granted) {
     co_return false;
   }
-  const int64_t old = m_lease;
-  m_lease = lease->m_id;
+  // If this fails, the record may lie under either lease, and the next step
+  // writes it again.
   const bool moved = co_await Write();
-  if (!moved) {
-    // The record may lie under either lease; the next steps renew this one and
-    // write again.
-    co_return false;
+  if (moved) {
+    co_await m_kv.EndLease(old);
   }
-  m_ttl = lease->m_ttl;
-  m_held_until = asked + m_ttl;
-  co_await m_kv.EndLease(old);
-  co_return true;
+  co_return moved;
 }
 
 Task<bool> VmRegistration::Renew() {
@@ -105,6 +98,7 @@
     Log(Severity::kWarning, LogPart::kMembership, "The lease has ended.",
         {{"lease", m_lease}});
     m_lease = 0;
+    m_written = false;
   }
   co_return false;
 }
