Say once when a peer counts as heard, and visit its rate tokens once

Ten places wrote out the check of a peer's last news, with < or <=; IsHeard() is the one. News that are exactly as old as the window no longer count anywhere, a difference of one millisecond. The loop over the peers' token levels stood twice, once only to sum them.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -14,8 +14,7 @@
 constexpr Millis kForgetAfter{10'000};
 
 bool IsPresent(const PeerVm& peer, Millis now) {
-  return peer.m_listed ||
-         (peer.m_heard != Millis() && now - peer.m_heard < kHeardWindow);
+  return peer.m_listed || IsHeard(peer, now, kHeardWindow);
 }
 
 }  // namespace
@@ -142,8 +141,7 @@
 int ClusterView::CountHeard(Millis now) const {
   int count = 1;
   for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
-    const Millis heard = entry->second.m_heard;
-    count += heard != Millis() && now - heard < kHeardWindow ? 1 : 0;
+    count += IsHeard(entry->second, now, kHeardWindow) ? 1 : 0;
   }
   return count;
 }
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -34,6 +34,11 @@
   PeerNews m_news;
 };
 
+// Whether news of the peer came within the last `window` before `now`.
+inline bool IsHeard(const PeerVm& peer, Millis now, Millis window) {
+  return peer.m_heard != Millis() && now - peer.m_heard < window;
+}
+
 class ClusterView {
  public:
   explicit ClusterView(VmRecord self) : m_self(std::move(self)) {}
--- a/packages/dispatch/break_book.cc
+++ b/packages/dispatch/break_book.cc
@@ -41,7 +41,7 @@
   for (auto entry = cluster.Peers().begin(); entry != cluster.Peers().end();
        ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kHeardWindow) {
+    if (!IsHeard(peer, now, kHeardWindow)) {
       continue;
     }
     for (const RequestBreaks& breaks : peer.m_news.m_breaks) {
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -129,7 +129,7 @@
   for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
        ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
+    if (!IsHeard(peer, now, kFreshNews)) {
       continue;
     }
     for (const OnlineQueue& queue : peer.m_news.m_queues) {
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -156,7 +156,7 @@
   for (auto entry = cluster.Peers().begin(); entry != cluster.Peers().end();
        ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
+    if (!IsHeard(peer, now, kFreshNews)) {
       continue;
     }
     for (const UpstreamUse& use : peer.m_news.m_uses) {
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -69,8 +69,7 @@
   for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
        ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard != Millis() && now - peer.m_heard < kFreshNews &&
-        peer.m_news.m_reaches_store) {
+    if (IsHeard(peer, now, kFreshNews) && peer.m_news.m_reaches_store) {
       peers.push_back(entry->first);
     }
   }
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -101,7 +101,7 @@
   for (auto entry = m_parts.m_cluster.Peers().begin();
        entry != m_parts.m_cluster.Peers().end(); ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
+    if (!IsHeard(peer, now, kFreshNews)) {
       continue;
     }
     for (const BatchBacklog& backlog : peer.m_news.m_backlogs) {
@@ -284,8 +284,7 @@
     std::vector<VmBatch> batches = {{self, entry->second}};
     for (auto peer = m_parts.m_cluster.Peers().begin();
          peer != m_parts.m_cluster.Peers().end(); ++peer) {
-      if (peer->second.m_heard == Millis() ||
-          now - peer->second.m_heard > kFreshNews) {
+      if (!IsHeard(peer->second, now, kFreshNews)) {
         continue;
       }
       for (const UpstreamUse& use : peer->second.m_news.m_uses) {
@@ -436,11 +435,7 @@
 Task<> ItemScheduler::ReleaseJob(JobPtr job,
                                  Millis deadline,
                                  Countdown& countdown) {
-  while (job->m_is_committing && MonotonicNow() < deadline) {
-    WaitAny wait(deadline);
-    wait.Add(job->m_changed);
-    co_await wait;
-  }
+  co_await WaitForCommit(job, deadline);
   if (job->IsOpen() && !job->m_is_committing) {
     job->m_is_committing = true;
     const Result<WriteEnd> end = co_await m_store.Release(*job, deadline);
--- a/packages/jobs/job.cc
+++ b/packages/jobs/job.cc
@@ -88,14 +88,6 @@
   return events;
 }
 
-int CountWaiting(const Job& job) {
-  int count = 0;
-  for (const ItemProgress& progress : job.m_progress) {
-    count += progress.m_phase == ItemPhase::kWaiting ? 1 : 0;
-  }
-  return count;
-}
-
 int64_t CountUnfinishedTokens(const Job& job) {
   int64_t tokens = 0;
   for (size_t i = 0; i < job.m_progress.size(); ++i) {
@@ -107,6 +99,14 @@
   return tokens;
 }
 
+Task<> WaitForCommit(JobPtr job, Millis deadline) {
+  while (job->m_is_committing && MonotonicNow() < deadline) {
+    WaitAny wait(deadline);
+    wait.Add(job->m_changed);
+    co_await wait;
+  }
+}
+
 void FinishItem(Job& job, size_t item, JobResultState state) {
   ItemProgress& progress = job.m_progress[item];
   progress.m_phase = ItemPhase::kFinished;
--- a/packages/jobs/job.h
+++ b/packages/jobs/job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "aio/cancellation.h"
+#include "aio/task.h"
 #include "aio/wait.h"
 #include "dispatch/upstream.h"
 #include "jobs/job_record.h"
@@ -93,11 +94,12 @@
 // Events that unfinished items have generated.
 int64_t CountPartialEvents(const Job& job);
 
-// Items that wait and may run at `now`.
-int CountWaiting(const Job& job);
 // Tokens of the items that aren't finished.
 int64_t CountUnfinishedTokens(const Job& job);
 
+// Waits until no write about the job is under way, or until `deadline`.
+Task<> WaitForCommit(JobPtr job, Millis deadline);
+
 // Ends an item. Its output becomes its result.
 void FinishItem(Job& job, size_t item, JobResultState state);
 
--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -4,8 +4,7 @@
 //                        compare-and-swap on its revision, which fences off an
 //                        owner that was replaced
 //   bx/job/ID/results/N  the Nth group of listed results; never changes
-//   bx/job/ID/partial    what unfinished items have generated, now and then, so
-//   that
+//   bx/job/ID/partial    what unfinished items have generated, now and then;
 //                        a new owner goes on from there
 //   bx/open/ID           exists while the job is open, so that open jobs can be
 //                        found
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -100,7 +100,7 @@
   for (auto entry = m_parts.m_cluster.Peers().begin();
        entry != m_parts.m_cluster.Peers().end(); ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kHeardWindow) {
+    if (!IsHeard(peer, now, kHeardWindow)) {
       continue;
     }
     for (const WaitingTokens& waiting : peer.m_news.m_waiting_tokens) {
@@ -307,11 +307,7 @@
 Task<Result<WriteEnd>> JobService::EndOwn(JobPtr job, Millis deadline) {
   job->m_ending = true;
   m_scheduler.CancelRuns(*job);
-  while (job->m_is_committing && MonotonicNow() < deadline) {
-    WaitAny wait(deadline);
-    wait.Add(job->m_changed);
-    co_await wait;
-  }
+  co_await WaitForCommit(job, deadline);
   if (!job->IsOpen()) {
     co_return WriteEnd::kApplied;
   }
--- a/packages/quota/quota_keeper.cc
+++ b/packages/quota/quota_keeper.cc
@@ -83,48 +83,37 @@
   }
 }
 
-absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> QuotaKeeper::AllLevels(
-    Millis now) const {
-  absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> levels;
+void QuotaKeeper::ForEachLevel(
+    Millis now,
+    absl::FunctionRef<void(uint32_t, const PeerLevel&)> visit) const {
   for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
        ++entry) {
     const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
+    if (!IsHeard(peer, now, kFreshNews)) {
       continue;
     }
     const uint32_t id = ShortHash(entry->first);
     for (const TokenLevel& level : peer.m_news.m_levels) {
-      levels[level.m_workspace].push_back(
-          {id, peer.m_news.m_sequence, level.m_tokens, level.m_demand});
+      visit(level.m_workspace,
+            {id, peer.m_news.m_sequence, level.m_tokens, level.m_demand});
     }
   }
-  return levels;
 }
 
-std::vector<PeerLevel> QuotaKeeper::LevelsOf(uint32_t workspace,
-                                             Millis now) const {
-  std::vector<PeerLevel> levels;
-  for (auto entry = m_cluster.Peers().begin(); entry != m_cluster.Peers().end();
-       ++entry) {
-    const PeerVm& peer = entry->second;
-    if (peer.m_heard == Millis() || now - peer.m_heard > kFreshNews) {
-      continue;
-    }
-    for (const TokenLevel& level : peer.m_news.m_levels) {
-      if (level.m_workspace == workspace) {
-        levels.push_back(
-            {ShortHash(entry->first), peer.m_news.m_sequence, level.m_tokens});
-      }
-    }
-  }
+absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> QuotaKeeper::AllLevels(
+    Millis now) const {
+  absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> levels;
+  ForEachLevel(now, [&levels](uint32_t workspace, const PeerLevel& level) {
+    levels[workspace].push_back(level);
+  });
   return levels;
 }
 
 double QuotaKeeper::TokensElsewhere(uint32_t workspace, Millis now) const {
   double tokens = 0;
-  for (const PeerLevel& level : LevelsOf(workspace, now)) {
-    tokens += level.m_tokens;
-  }
+  ForEachLevel(now, [&](uint32_t told, const PeerLevel& level) {
+    tokens += told == workspace ? level.m_tokens : 0;
+  });
   return tokens;
 }
 
--- a/packages/quota/quota_keeper.h
+++ b/packages/quota/quota_keeper.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include "aio/cancellation.h"
 #include "aio/task.h"
@@ -97,10 +98,12 @@
   AccountPtr AccountOf(const Workspace& workspace, Millis now);
   TokenShare Share(const Account& account, Millis now) const;
   void Refill(Account& account, Millis now);
-  // The levels of the peers, of all workspaces.
+  // Visits what the peers told lately, with the workspace's ShortHash.
+  void ForEachLevel(
+      Millis now,
+      absl::FunctionRef<void(uint32_t, const PeerLevel&)> visit) const;
   absl::flat_hash_map<uint32_t, std::vector<PeerLevel>> AllLevels(
       Millis now) const;
-  std::vector<PeerLevel> LevelsOf(uint32_t workspace, Millis now) const;
   // Tokens that the other VMs told of.
   double TokensElsewhere(uint32_t workspace, Millis now) const;
   // When a token is likely to be there.
