Keep the platform's names for tests in its stand-ins

Tests and harness spelled out headers, paths, keys and the operator's document. The tests keep their checks; five blocks that published a key became a call each.

--- /dev/null
+++ b/standins/platform_operator_standin.cc
@@ -0,0 +1,82 @@
+#include "standins/platform_operator_standin.h"
+
+namespace bronzecross {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kConfigKey = "op/config";
+
+// Position of the batch route.
+constexpr size_t kBatchRoute = 4;
+
+json MakeRoute(const std::string& name,
+               const std::string& prefix,
+               const std::string& kind,
+               bool resumable) {
+  return {{"name", name},    {"host", "gateway.test"}, {"prefix", prefix},
+          {"kind", kind},    {"timeoutMs", 8'000},     {"targetLatencyMs", 600},
+          {"priority", 0},   {"service", "engine"},    {"maxAttempts", 3},
+          {"public", false}, {"sticky", false},        {"resumable", resumable},
+          {"gapAimMs", 500}};
+}
+
+json MakeConfig(double rate_per_s, double burst) {
+  json config;
+  config["version"] = 1;
+  config["routes"] = {
+      MakeRoute("plain", "/plain/", "idempotent", false),
+      MakeRoute("once", "/once/", "non_idempotent", false),
+      MakeRoute("stream", "/stream/", "streaming", false),
+      MakeRoute("resume", "/resume/", "streaming", true),
+  };
+  json batch = MakeRoute("batch", "/batch/", "bulk", false);
+  batch["dueMs"] = 20'000;
+  batch["retentionS"] = 60;
+  batch["cap"] = 1'000'000;
+  config["routes"].push_back(batch);
+  config["services"] = {{{"name", "engine"},
+                         {"healthPath", "/health"},
+                         {"maxConns", 100},
+                         {"engine", json::object()}}};
+  config["limits"] = {{"maxHeaderBytes", 16'384},
+                      {"maxBodyBytes", 1'000'000},
+                      {"headerTimeoutMs", 3'000},
+                      {"idleTimeoutMs", 15'000}};
+  config["tenants"] = {{{"name", "ws-a"},
+                        {"apiKeys", {"key-a"}},
+                        {"ratePerS", rate_per_s},
+                        {"burst", burst}},
+                       {{"name", "ws-b"}, {"apiKeys", {"key-b"}}}};
+  return config;
+}
+
+}  // namespace
+
+PlatformOperatorStandin::PlatformOperatorStandin(PlatformStoreStandin& store,
+                                                 double rate_per_s,
+                                                 double burst)
+    : m_store(store), m_config(MakeConfig(rate_per_s, burst)) {
+  Publish(1);
+}
+
+void PlatformOperatorStandin::PublishKey(int version, const std::string& key) {
+  m_config["tenants"][0]["apiKeys"] = {key};
+  Publish(version);
+}
+
+void PlatformOperatorStandin::PublishWaitingCap(int version, int64_t tokens) {
+  m_config["routes"][kBatchRoute]["cap"] = tokens;
+  Publish(version);
+}
+
+void PlatformOperatorStandin::PublishUnreadable() {
+  m_store.Put(std::string(kConfigKey), R"({"version":"x"})");
+}
+
+void PlatformOperatorStandin::Publish(int version) {
+  m_config["version"] = version;
+  m_store.Put(std::string(kConfigKey), m_config.dump());
+}
+
+}  // namespace bronzecross
--- /dev/null
+++ b/standins/platform_operator_standin.h
@@ -0,0 +1,39 @@
+// Stand-in for the platform's operator: one configuration with a route of each
+// kind, one engine service and two workspaces, written to the store.
+
+#ifndef BRONZECROSS_STANDINS_PLATFORM_OPERATOR_STANDIN_H_
+#define BRONZECROSS_STANDINS_PLATFORM_OPERATOR_STANDIN_H_
+
+#include <cstdint>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "standins/platform_store_standin.h"
+
+namespace bronzecross {
+
+class PlatformOperatorStandin {
+ public:
+  // The limit is that of the first workspace; 0: none. Its key is "key-a", that
+  // of the other one "key-b".
+  PlatformOperatorStandin(PlatformStoreStandin& store,
+                          double rate_per_s,
+                          double burst);
+
+  // Each writes a whole configuration of the given version.
+  void PublishKey(int version, const std::string& key);
+  void PublishWaitingCap(int version, int64_t tokens);
+  // Writes a document that is no configuration.
+  void PublishUnreadable();
+
+ private:
+  void Publish(int version);
+
+  PlatformStoreStandin& m_store;
+  nlohmann::json m_config;
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_STANDINS_PLATFORM_OPERATOR_STANDIN_H_
--- a/standins/platform_replica_standin.cc
+++ b/standins/platform_replica_standin.cc
@@ -13,6 +13,8 @@
 // How long a silent replica keeps a request.
 constexpr Millis kSilence{4'000};
 
+constexpr std::string_view kSignature = "Server-Stamp";
+
 HttpReply NotRun(int status) {
   HttpReply reply;
   reply.m_status = status;
@@ -35,6 +37,15 @@
   Register("ready");
 }
 
+std::string_view PlatformReplicaStandin::SignatureOf(
+    const std::vector<HttpHeader>& fields) {
+  return FindHeader(fields, kSignature);
+}
+
+std::string PlatformReplicaStandin::EntryKey(std::string_view id) {
+  return Concat("servers/", id);
+}
+
 PlatformReplicaStandin::~PlatformReplicaStandin() {
   m_server.Stop();
 }
@@ -55,11 +66,11 @@
   entry["coldLeftMs"] = 0;
   entry["callSeq"] = 1;
   entry["born"] = 1;
-  m_store.Put(Concat("servers/", m_options.m_id), entry.dump());
+  m_store.Put(EntryKey(m_options.m_id), entry.dump());
 }
 
 void PlatformReplicaStandin::Unregister() {
-  m_store.Remove(Concat("servers/", m_options.m_id));
+  m_store.Remove(EntryKey(m_options.m_id));
 }
 
 void PlatformReplicaStandin::Crash() {
@@ -87,7 +98,8 @@
                                          int cut_after) {
   HttpReply reply;
   reply.m_headers.push_back({"Request-Id", id});
-  reply.m_headers.push_back({"Server-Stamp", Concat("stamp-", m_options.m_id)});
+  reply.m_headers.push_back(
+      {std::string(kSignature), Concat("stamp-", m_options.m_id)});
   reply.m_headers.push_back({"Content-Type", "text/event-stream"});
   std::shared_ptr<int64_t> next =
       std::make_shared<int64_t>(std::max<int64_t>(resume_after, 0));
@@ -159,7 +171,7 @@
   } else {
     reply.m_headers.push_back({"Request-Id", id});
     reply.m_headers.push_back(
-        {"Server-Stamp", Concat("stamp-", m_options.m_id)});
+        {std::string(kSignature), Concat("stamp-", m_options.m_id)});
     reply.m_body = PlainBody(id);
     reply.m_status = faults.m_fail_status != 0 ? faults.m_fail_status : 200;
     if (cut) {
@@ -171,7 +183,7 @@
   }
   if (faults.m_unsigned) {
     std::erase_if(reply.m_headers, [](const HttpHeader& header) {
-      return header.m_name == "Server-Stamp";
+      return header.m_name == kSignature;
     });
   }
   return reply;
--- a/standins/platform_replica_standin.h
+++ b/standins/platform_replica_standin.h
@@ -64,6 +64,10 @@
 
   // The data of event `index`, counted from 1, of a request's stream.
   static std::string EventData(std::string_view request_id, int64_t index);
+  // The signature in a replica's answer; empty if there is none.
+  static std::string_view SignatureOf(const std::vector<HttpHeader>& fields);
+  // The key of a replica's entry in the store.
+  static std::string EntryKey(std::string_view id);
   // The answer to a plain request.
   static std::string PlainBody(std::string_view request_id);
 
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -7,9 +7,9 @@
 #include <filesystem>
 #include <fstream>
 
-#include "base/base64.h"
 #include "base/text.h"
 #include "harness/cluster.h"
+#include "standins/platform_caller.h"
 
 namespace bronzecross {
 namespace {
@@ -42,61 +42,19 @@
   return pattern;
 }
 
-json MakeRoute(const std::string& name,
-               const std::string& prefix,
-               const std::string& kind,
-               bool resumable) {
-  return {{"name", name},    {"host", "gateway.test"}, {"prefix", prefix},
-          {"kind", kind},    {"timeoutMs", 8'000},     {"targetLatencyMs", 600},
-          {"priority", 0},   {"service", "engine"},    {"maxAttempts", 3},
-          {"public", false}, {"sticky", false},        {"resumable", resumable},
-          {"gapAimMs", 500}};
-}
-
-json MakeConfig(const GatewayClusterOptions& options) {
-  json config;
-  config["version"] = 1;
-  config["routes"] = {
-      MakeRoute("plain", "/plain/", "idempotent", false),
-      MakeRoute("once", "/once/", "non_idempotent", false),
-      MakeRoute("stream", "/stream/", "streaming", false),
-      MakeRoute("resume", "/resume/", "streaming", true),
-  };
-  json batch = MakeRoute("batch", "/batch/", "bulk", false);
-  batch["dueMs"] = 20'000;
-  batch["retentionS"] = 60;
-  batch["cap"] = 1'000'000;
-  config["routes"].push_back(batch);
-  config["services"] = {{{"name", "engine"},
-                         {"healthPath", "/health"},
-                         {"maxConns", 100},
-                         {"engine", json::object()}}};
-  config["limits"] = {{"maxHeaderBytes", 16'384},
-                      {"maxBodyBytes", 1'000'000},
-                      {"headerTimeoutMs", 3'000},
-                      {"idleTimeoutMs", 15'000}};
-  config["tenants"] = {{{"name", "ws-a"},
-                        {"apiKeys", {"key-a"}},
-                        {"ratePerS", options.m_rate_per_s},
-                        {"burst", options.m_burst}},
-                       {{"name", "ws-b"}, {"apiKeys", {"key-b"}}}};
-  return config;
-}
-
 }  // namespace
 
 GatewayCluster::GatewayCluster(GatewayClusterOptions options)
     : m_options(std::move(options)),
       m_folder(MakeFolder()),
       m_ip(OwnLoopbackIp()),
-      m_config(MakeConfig(m_options)) {
+      m_operator(m_store, m_options.m_rate_per_s, m_options.m_burst) {
   for (int i = 0; i < m_options.m_engines; ++i) {
     PlatformReplicaOptions engine = m_options.m_engine;
     engine.m_id = Concat("i-", i);
     m_engines.push_back(
         std::make_unique<PlatformReplicaStandin>(m_store, engine));
   }
-  Publish();
   for (int i = 0; i < m_options.m_vms; ++i) {
     std::unique_ptr<struct Vm> vm = std::make_unique<struct Vm>();
     vm->m_folder = Concat(m_folder, "/vm-", i);
@@ -129,10 +87,6 @@
   }
 }
 
-void GatewayCluster::Publish() {
-  m_store.Put("op/config", m_config.dump());
-}
-
 std::string GatewayCluster::LogOf(size_t vm) const {
   std::ifstream file(Concat(m_vms[vm]->m_folder, "/log"));
   return std::string(std::istreambuf_iterator<char>(file),
@@ -171,8 +125,8 @@
 
 bool GatewayCluster::IsReady(size_t vm) {
   HttpCall call;
-  call.m_url =
-      Concat("http://", m_ip, ":", m_vms[vm]->m_readiness, "/api/readiness");
+  call.m_url = Concat("http://", m_ip, ":", m_vms[vm]->m_readiness,
+                      kPlatformReadinessPath);
   const Result<HttpAnswer> answer = m_http.Call(call);
   return answer && answer->m_status == 200;
 }
@@ -194,35 +148,17 @@
   HttpCall call;
   call.m_method = request.m_method;
   call.m_url = Concat(CallerUrl(request.m_vm), request.m_target);
-  call.m_headers = request.m_headers;
+  call.m_headers =
+      PlatformCallerFields(request.m_id, request.m_key, request.m_deadline_ms);
   call.m_headers.push_back({"Host", "gateway.test"});
-  if (!request.m_id.empty()) {
-    call.m_headers.push_back({"Request-Id", request.m_id});
-  }
-  if (!request.m_key.empty()) {
-    call.m_headers.push_back(
-        {"Authorization", Concat("Bearer ", request.m_key)});
-  }
-  call.m_headers.push_back({"Deadline-Ms", Concat(request.m_deadline_ms)});
+  call.m_headers.insert(call.m_headers.end(), request.m_headers.begin(),
+                        request.m_headers.end());
   call.m_body = request.m_body;
   call.m_timeout = kCallTimeout;
   call.m_fresh_connection = true;
   return m_http.Call(call);
 }
 
-std::string GatewayCluster::JobBody(std::string_view job, int items) {
-  json body;
-  body["items"] = json::array();
-  for (int i = 0; i < items; ++i) {
-    body["items"].push_back({{"id", Concat(job, "-item-", i)},
-                             {"path", "/batch/stream"},
-                             {"headers", {{"Model", "m"}}},
-                             {"body", Base64Encode(Concat("body ", i))},
-                             {"tokens", 100}});
-  }
-  return body.dump();
-}
-
 json GatewayCluster::WaitForResults(int vm,
                                     const std::string& job,
                                     Millis timeout) {
@@ -232,9 +168,9 @@
         GatewayRequest request;
         request.m_vm = vm;
         request.m_method = "GET";
-        request.m_target = Concat("/api/lots/", job, "?after=0");
+        request.m_target = PlatformResultsPath(job);
         request.m_body = "";
-        request.m_headers = {{"Wait-Ms", "200"}};
+        request.m_headers = {PlatformPollWait(Millis(200))};
         const HttpAnswer answer = Call(request);
         last = json::parse(answer.m_body, nullptr, false);
         return answer.m_status == 200 && last.is_object() &&
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -13,6 +13,7 @@
 #include "harness/child_process.h"
 #include "http/http_client.h"
 #include "standins/fault_proxy.h"
+#include "standins/platform_operator_standin.h"
 #include "standins/platform_replica_standin.h"
 #include "standins/platform_store_standin.h"
 
@@ -55,9 +56,7 @@
   std::string LogOf(size_t vm) const;
   std::string CallerUrl(size_t vm) const;
 
-  // The operator's configuration; change it, then call Publish().
-  nlohmann::json& Config() { return m_config; }
-  void Publish();
+  PlatformOperatorStandin& Operator() { return m_operator; }
 
   // Status 0: no whole answer came.
   HttpAnswer Call(const GatewayRequest& request);
@@ -68,8 +67,6 @@
   void StartVm(size_t vm);
   void WaitReady(size_t vm);
 
-  // The body of a submission of `items` items of the path /batch/stream.
-  static std::string JobBody(std::string_view job, int items);
   // Reads a job's results until all are listed or `timeout` passes.
   nlohmann::json WaitForResults(int vm, const std::string& job, Millis timeout);
 
@@ -90,8 +87,8 @@
   GatewayClusterOptions m_options;
   std::string m_folder;
   std::string m_ip;
-  nlohmann::json m_config;
   PlatformStoreStandin m_store;
+  PlatformOperatorStandin m_operator;
   std::vector<std::unique_ptr<PlatformReplicaStandin>> m_engines;
   std::vector<std::unique_ptr<struct Vm>> m_vms;
   HttpClient m_http;
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -12,6 +12,7 @@
 #include "base/text.h"
 #include "harness/cluster.h"
 #include "harness/gateway_cluster.h"
+#include "standins/platform_caller.h"
 
 namespace bronzecross {
 namespace {
@@ -25,7 +26,7 @@
   request.m_vm = vm;
   request.m_target = "/batch/jobs";
   request.m_id = job;
-  request.m_body = GatewayCluster::JobBody(job, items);
+  request.m_body = PlatformJobBody(job, items);
   return request;
 }
 
@@ -67,10 +68,10 @@
   CHECK(cluster.WaitForResults(1, "job1", kJobTimeout) == at_other);
   GatewayRequest unknown;
   unknown.m_method = "GET";
-  unknown.m_target = "/api/lots/nothing?after=0";
+  unknown.m_target = PlatformResultsPath("nothing");
   unknown.m_body = "";
   CHECK(cluster.Call(unknown).m_status == 404);
-  unknown.m_target = "/api/lots/job1?after=0";
+  unknown.m_target = PlatformResultsPath("job1");
   unknown.m_key = "key-b";
   CHECK(cluster.Call(unknown).m_status == 404);
 }
@@ -109,7 +110,7 @@
         GatewayRequest read;
         read.m_vm = 1;
         read.m_method = "GET";
-        read.m_target = "/api/lots/job1?after=0";
+        read.m_target = PlatformResultsPath("job1");
         read.m_body = "";
         first = json::parse(cluster.Call(read).m_body, nullptr, false);
         return first.is_object() && first.value("next", 0) > 0;
@@ -167,7 +168,7 @@
   GatewayRequest end;
   end.m_vm = 1;
   end.m_method = "DELETE";
-  end.m_target = "/api/lots/job1";
+  end.m_target = PlatformJobPath("job1");
   end.m_body = "";
   CHECK(cluster.Call(end).m_status == 200);
   CHECK(cluster.Call(end).m_status == 200);
@@ -190,7 +191,7 @@
   GatewayRequest body;
   body.m_vm = 1;
   body.m_method = "GET";
-  body.m_target = "/api/items/job1?id=job1-item-1";
+  body.m_target = PlatformItemPath("job1", 1);
   body.m_body = "";
   const HttpAnswer answer = cluster.Call(body);
   CHECK(answer.m_status == 200);
@@ -216,9 +217,7 @@
   GatewayClusterOptions options;
   options.m_engine.m_events = 100;
   GatewayCluster cluster(options);
-  cluster.Config()["version"] = 2;
-  cluster.Config()["routes"][4]["cap"] = 250;
-  cluster.Publish();
+  cluster.Operator().PublishWaitingCap(2, 250);
   SleepFor(Millis(600));
   CHECK(cluster.Call(Submission("job1", 2, 0)).m_status == 202);
   const HttpAnswer answer = cluster.Call(Submission("job2", 2, 0));
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -47,7 +47,8 @@
   const HttpAnswer plain = cluster.Call(MakeRequest("/plain/x?y=1", "r1"));
   CHECK(plain.m_status == 200);
   CHECK(plain.m_body == PlatformReplicaStandin::PlainBody("r1"));
-  CHECK(FindHeader(plain.m_headers, "Server-Stamp").starts_with("stamp-"));
+  CHECK(PlatformReplicaStandin::SignatureOf(plain.m_headers)
+            .starts_with("stamp-"));
   const HttpAnswer stream = cluster.Call(MakeRequest("/stream/x", "r2"));
   CHECK(stream.m_status == 200);
   CHECK(stream.m_body == WholeStream("r2", 5));
@@ -132,9 +133,7 @@
 TEST_CASE(
     "a new configuration is in force on all VMs, an older one never again") {
   GatewayCluster cluster(GatewayClusterOptions{});
-  cluster.Config()["version"] = 5;
-  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
-  cluster.Publish();
+  cluster.Operator().PublishKey(5, "key-new");
   for (int vm = 0; vm < 2; ++vm) {
     GatewayRequest request = MakeRequest("/plain/x", Concat("r", vm));
     request.m_vm = vm;
@@ -144,9 +143,7 @@
     request.m_key = "key-a";
     CHECK(cluster.Call(request).m_status == 401);
   }
-  cluster.Config()["version"] = 4;
-  cluster.Config()["tenants"][0]["apiKeys"] = {"key-a"};
-  cluster.Publish();
+  cluster.Operator().PublishKey(4, "key-a");
   SleepFor(Millis(500));
   GatewayRequest old = MakeRequest("/plain/x", "r9");
   CHECK(cluster.Call(old).m_status == 401);
@@ -234,10 +231,11 @@
         "{\"service\":\"engine\",\"address\":\"127.0.0.1:1\",\"state\":\"odd\","
         "\"slots\":8}",
         "\xff\xfe\x00\x01"}) {
-    cluster.Store().Put(Concat("servers/bad-", std::string(entry).size()),
+    cluster.Store().Put(PlatformReplicaStandin::EntryKey(
+                            Concat("bad-", std::string(entry).size())),
                         entry);
   }
-  cluster.Store().Put("op/config", "{\"version\":\"x\"}");
+  cluster.Operator().PublishUnreadable();
   SleepFor(Millis(400));
   for (int i = 0; i < 6; ++i) {
     CHECK(cluster.Call(MakeRequest("/once/x", Concat("r", i))).m_status == 200);
@@ -252,9 +250,7 @@
   faults.m_refuse = true;
   cluster.StoreProxy(0).SetFaults(faults);
   cluster.StoreProxy(0).CutAll();
-  cluster.Config()["version"] = 9;
-  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
-  cluster.Publish();
+  cluster.Operator().PublishKey(9, "key-new");
   GatewayRequest request = MakeRequest("/plain/x", "r1");
   request.m_key = "key-new";
   CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
@@ -280,9 +276,7 @@
   faults.m_drop_forward = true;
   faults.m_drop_backward = true;
   cluster.StoreProxy(1).SetFaults(faults);
-  cluster.Config()["version"] = 9;
-  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
-  cluster.Publish();
+  cluster.Operator().PublishKey(9, "key-new");
   GatewayRequest request = MakeRequest("/plain/x", "r1");
   request.m_key = "key-new";
   CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
@@ -355,9 +349,7 @@
   cluster.Store().SetFaults(faults);
   cluster.StoreProxy(0).CutAll();
   SleepFor(Millis(1'000));
-  cluster.Config()["version"] = 9;
-  cluster.Config()["tenants"][0]["apiKeys"] = {"key-new"};
-  cluster.Publish();
+  cluster.Operator().PublishKey(9, "key-new");
   GatewayRequest request = MakeRequest("/plain/x", "r1");
   request.m_key = "key-new";
   CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
--- a/tests/measure/measure_platform_cost.cc
+++ b/tests/measure/measure_platform_cost.cc
@@ -12,6 +12,7 @@
 #include "harness/gateway_cluster.h"
 #include "harness/percentile.h"
 #include "measure/measurement.h"
+#include "standins/platform_caller.h"
 
 namespace bronzecross {
 namespace {
@@ -51,10 +52,9 @@
     HttpCall call;
     call.m_method = "POST";
     call.m_url = Concat(url, "/plain/x");
-    call.m_headers = {{"Host", "gateway.test"},
-                      {"Request-Id", Concat(direct ? "d-" : "g-", i)},
-                      {"Authorization", "Bearer key-a"},
-                      {"Deadline-Ms", "5000"}};
+    call.m_headers =
+        PlatformCallerFields(Concat(direct ? "d-" : "g-", i), "key-a", 5'000);
+    call.m_headers.push_back({"Host", "gateway.test"});
     call.m_body = "question";
     const std::chrono::steady_clock::time_point started =
         std::chrono::steady_clock::now();
--- a/tests/measure/platform_demo.cc
+++ b/tests/measure/platform_demo.cc
@@ -7,6 +7,7 @@
 
 #include "base/text.h"
 #include "harness/gateway_cluster.h"
+#include "standins/platform_caller.h"
 
 namespace bronzecross {
 namespace {
@@ -49,7 +50,7 @@
   GatewayRequest submission;
   submission.m_target = "/batch/jobs";
   submission.m_id = "job-1";
-  submission.m_body = GatewayCluster::JobBody("job-1", 12);
+  submission.m_body = PlatformJobBody("job-1", 12);
   Report(cluster.Call(submission).m_status == 202,
          "a batch job of 12 items is accepted by gateway 0");
   cluster.Vm(0).Kill();
