Read a refused upload to its end before the refusal is sent

Change: the body is read and dropped up to 8 MB, then the refusal is sent, as for bodies that are somewhat too large. Larger bodies still get the early reply.

--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -59,7 +59,7 @@
   int64_t m_max_bytes = 0;
   // If set, receives the body (or the multipart field "file") piece by piece.
   std::function<Status(std::string_view)> m_sink;
-  // If set, the request is answered with this and the body is not read.
+  // If set, the request is answered with this and the body is dropped.
   std::optional<HttpReply> m_refusal;
 };
 
--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -19,6 +21,10 @@
 constexpr size_t kMaxFormFieldBytes = 4096;
 constexpr std::string_view kSinkField = "file";
 
+// A body up to this size is read to its end before its request is refused by
+// the header alone. It bounds what a caller without a valid key can send.
+constexpr int64_t kMaxRefusedBodyBytes = 8 << 20;
+
 }  // namespace
 
 // One request from its header to the end of its reply.
@@ -104,29 +110,32 @@
     return exchange;
   }
 
-  // Returns a refusal that the header alone calls for.
+  // Returns a refusal to send before the body is read. Where the body isn't too
+  // large, it is read to its end first: closing a connection with unread bytes
+  // resets it, and a caller that is still sending loses the refusal.
   static std::optional<HttpReply> RefuseEarly(Exchange& exchange) {
-    if (exchange.m_plan.m_refusal) {
-      return std::move(exchange.m_plan.m_refusal);
-    }
     int64_t length = 0;
     const std::string text(
         FindHeader(exchange.m_request.m_headers, "Content-Length"));
-    if (absl::SimpleAtoi(text, &length) &&
-        length > exchange.m_plan.m_max_bytes) {
-      if (length > DrainLimit(exchange)) {
-        return TooLarge(exchange);
-      }
-      // Read to its end: closing a connection with unread bytes resets it, and
-      // the caller may lose the refusal.
-      exchange.m_too_large = true;
+    const bool has_length = absl::SimpleAtoi(text, &length);
+    const bool is_over_drain_limit =
+        has_length && length > DrainLimit(exchange);
+    if (exchange.m_plan.m_refusal) {
+      return is_over_drain_limit ? std::move(exchange.m_plan.m_refusal)
+                                 : std::nullopt;
     }
+    if (is_over_drain_limit) {
+      return TooLarge(exchange);
+    }
+    exchange.m_too_large = has_length && length > exchange.m_plan.m_max_bytes;
     return std::nullopt;
   }
 
   // A body up to this size is read and dropped before it is refused.
   static int64_t DrainLimit(const Exchange& exchange) {
-    return 2 * exchange.m_plan.m_max_bytes + 65536;
+    const int64_t limit = 2 * exchange.m_plan.m_max_bytes + 65536;
+    return exchange.m_plan.m_refusal ? std::min(limit, kMaxRefusedBodyBytes)
+                                     : limit;
   }
 
   static HttpReply TooLarge(const Exchange& exchange) {
@@ -144,7 +153,7 @@
     if (exchange.m_body_bytes > exchange.m_plan.m_max_bytes) {
       exchange.m_too_large = true;
     }
-    if (exchange.m_too_large) {
+    if (exchange.m_too_large || exchange.m_plan.m_refusal) {
       return;
     }
     if (!exchange.m_plan.m_sink) {
@@ -233,6 +242,10 @@
       MHD_destroy_post_processor(exchange->m_post);
       exchange->m_post = nullptr;
     }
+    if (exchange->m_plan.m_refusal) {
+      return Send(*exchange, connection,
+                  std::move(*exchange->m_plan.m_refusal));
+    }
     if (exchange->m_too_large) {
       return Send(*exchange, connection, TooLarge(*exchange));
     }
--- a/packages/http/http_test.cc
+++ b/packages/http/http_test.cc
@@ -1,5 +1,10 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <doctest/doctest.h>
 
+#include <absl/strings/str_cat.h>
+
 #include "http/http_client.h"
 #include "http/http_error_reply.h"
 #include "http/http_server.h"
@@ -46,6 +51,46 @@
   CHECK(FindHeader(refused->m_headers, kRunHeader) == "not_run");
 }
 
+// Guards against a refusal that the caller loses: a connection that is closed
+// with unread bytes is reset, and a caller that is still sending sees only
+// that.
+TEST_CASE("a refusal by the header waits for the body that follows it") {
+  constexpr size_t kBodyBytes = 2'000'000;
+  constexpr size_t kBlockBytes = 50'000;
+  HttpServer server(
+      LocalOptions(),
+      {[](HttpRequest&) {
+         BodyPlan plan;
+         plan.m_max_bytes = kBodyBytes;
+         plan.m_refusal =
+             ErrorReply(Fail(ResultCode::kInvalidKey, "no key").value());
+         return plan;
+       },
+       [](HttpRequest&, const Status&) { return JsonReply(200, "{}"); }});
+  REQUIRE(server.Start().has_value());
+  const Result<int> fd = ConnectTcp(server.Address(), Millis(1'000));
+  REQUIRE(fd.has_value());
+  const std::string head = absl::StrCat(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ", kBodyBytes, "\r\n\r\n");
+  CHECK(send(*fd, head.data(), head.size(), MSG_NOSIGNAL) ==
+        static_cast<ssize_t>(head.size()));
+  const std::string block(kBlockBytes, 'x');
+  size_t sent = 0;
+  while (sent < kBodyBytes) {
+    const ssize_t count = send(*fd, block.data(), block.size(), MSG_NOSIGNAL);
+    if (count <= 0) {
+      break;
+    }
+    sent += static_cast<size_t>(count);
+    SleepFor(Millis(2));
+  }
+  CHECK(sent == kBodyBytes);
+  char reply[64] = {};
+  CHECK(recv(*fd, reply, sizeof(reply), 0) > 0);
+  CHECK(std::string_view(reply).starts_with("HTTP/1.1 401 "));
+  close(*fd);
+}
+
 // Guards against a cut stream that is taken for a whole answer.
 TEST_CASE("a reader that fails in mid-body gives the client an error") {
   HttpServer server(
