Make fewer calls to the store: shorter watches, rarer renewals, listings and scans

Debug lines of each call, counted by kind: watches waited 28 s at a store that keeps 20 s of history, so each one ended with a second call that reads all again; while the store was away 63 VMs tried to renew 440 times a second; finished items were listed each 0.6 s of an 18 s job; and each VM read the list of open jobs each 15 to 30 s.

Change: a watch ends 1.5 s before the store's history does (new setting [store] history_ms); attempts to renew double their pause up to 0.48 s, and up to 1 s in larger fleets; items are listed each 2 s until 4 s before their job is due; after two scans of its own at its start a VM leaves scans to one VM of the fleet, which makes them each 5 to 7.5 s and takes over what nobody else knows.

Ruled out: a longer first lease, which would save the replacement of 63 leases at a cold start; in a small fleet a lost VM's jobs would wait longer.

--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -48,6 +48,22 @@
   }
 }
 
+// Guards against a fleet that calls a service which is away in proportion to
+// its size: 63 VMs made 440 calls a second.
+TEST_CASE("attempts to renew grow rarer while the service is away") {
+  CHECK(RenewalRetryPause(1, 8) <= Millis(150));
+  for (const int vms : {8, 63, 1'600}) {
+    Millis passed;
+    int calls = 0;
+    for (; passed < Millis(5'000); ++calls) {
+      passed += RenewalRetryPause(calls + 1, vms);
+    }
+    CHECK(calls <= 14);
+    // A VM is back well before its registration would end again.
+    CHECK(RenewalRetryPause(100, vms) <= RegistrationTtl(vms) / 3);
+  }
+}
+
 TEST_CASE("news survive encoding, and nothing else is taken for news") {
   PeerNews news = News(Record("b", 7), 9);
   news.m_breaks = {{77, 3}};
--- a/packages/cluster/vm_registration.cc
+++ b/packages/cluster/vm_registration.cc
@@ -26,8 +26,12 @@
   return ttl / 2 - kRenewMargin / 2;
 }
 
-// Pause after a failed call.
-constexpr Millis kRetryPause{120};
+// Bounds of the pause after a failed call. The longest one delays a VM's return
+// by less than a lease has left after it; all VMs of a large fleet together
+// still try over a hundred times a second.
+constexpr Millis kFirstRetryPause{120};
+constexpr Millis kLongestRetryPause{480};
+constexpr Millis kRetryPausePerVm{8};
 
 }  // namespace
 
@@ -35,6 +39,13 @@
   return std::clamp(kTtlPerVm * vms, kShortestTtl, kLongestTtl);
 }
 
+Millis RenewalRetryPause(int failures, int vms) {
+  const int doublings = std::clamp(failures - 1, 0, 8);
+  const Millis longest =
+      std::clamp(kRetryPausePerVm * vms, kLongestRetryPause, kShortestTtl / 3);
+  return std::min(kFirstRetryPause * (int64_t{1} << doublings), longest);
+}
+
 bool VmRegistration::IsTtlOutdated() const {
   const Millis wanted = RegistrationTtl(m_fleet_size);
   return wanted >= m_ttl * kTtlTolerance || m_ttl >= wanted * kTtlTolerance;
@@ -104,6 +115,7 @@
 }
 
 Task<> VmRegistration::Run() {
+  int failures = 0;  // in a row
   while (!m_ended) {
     const Millis began = MonotonicNow();
     bool done = false;
@@ -116,13 +128,14 @@
     } else {
       done = co_await Renew();
     }
+    failures = done ? 0 : failures + 1;
     const bool is_complete = done && m_written;
     if (is_complete) {
       // A renewal that first tried a dead path took long; the next one is due
       // as usual.
       co_await WaitAny(began + RenewInterval(m_ttl));
     } else if (!done) {
-      co_await Sleep(kRetryPause);
+      co_await Sleep(RenewalRetryPause(failures, m_fleet_size));
     }
   }
 }
--- a/packages/cluster/vm_registration.h
+++ b/packages/cluster/vm_registration.h
@@ -13,6 +13,11 @@
 // large fleet, since each renewal is a write to the one service.
 Millis RegistrationTtl(int vms);
 
+// Pause before the next attempt to renew after `failures` failed ones in a row.
+// It grows, and in a large fleet grows longer: while the service is away, all
+// VMs make such attempts, and each is priced.
+Millis RenewalRetryPause(int failures, int vms);
+
 class VmRegistration {
  public:
   VmRegistration(KvSession& kv, VmRecord self)
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -69,6 +69,8 @@
   listen.Finish();
   TomlTable store(root.GetTable("store"), faults);
   settings.m_store = ReadAddress(store, "address");
+  settings.m_store_history = Millis(store.GetInt(
+      "history_ms", settings.m_store_history.count(), kLeastMs, kMostMs));
   store.Finish();
   TomlTable cluster(root.GetTable("cluster"), faults);
   for (const std::string& seed : cluster.GetStrings("seeds")) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
   NetAddress m_bootstrap;  // other VMs that know this one from their seeds
   NetAddress m_metrics;
   NetAddress m_store;
+  Millis m_store_history{20'000};  // for which the store keeps its history
   std::vector<NetAddress> m_seeds;
   Millis m_drain_limit{7'000};         // a stop takes no longer
   Millis m_result_retention{120'000};  // of finished jobs, from submission
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -24,7 +24,7 @@
 
 Node::Node(GatewaySettings settings)
     : m_settings(std::move(settings)),
-      m_kv(m_settings.m_store),
+      m_kv(m_settings.m_store, m_settings.m_store_history),
       m_cluster(MakeRecord(m_settings)),
       m_registration(m_kv, m_cluster.Self()),
       m_upstreams(m_kv),
--- a/packages/jobs/item_order.cc
+++ b/packages/jobs/item_order.cc
@@ -15,6 +15,12 @@
 // Expectations are rough, so an item that seems to be a little late may not be.
 constexpr Millis kHopelessSlack{-2'500};
 
+// Far from the end, a listing may wait: a VM that is lost costs its items that
+// much of their work. Near the end, it leaves time for a slow store.
+constexpr Millis kRelaxedListing{2'000};
+constexpr Millis kPromptListing{600};
+constexpr Millis kPromptBefore{4'000};
+
 }  // namespace
 
 Millis RemainingTime(const ItemOutlook& outlook) {
@@ -33,6 +39,10 @@
   return slack < kUrgentSlack && slack > kHopelessSlack;
 }
 
+Millis ListingInterval(Millis until_due) {
+  return until_due > kPromptBefore ? kRelaxedListing : kPromptListing;
+}
+
 bool RunsBefore(Millis a, Millis b) {
   const bool a_in_time = a > kHopelessSlack;
   const bool b_in_time = b > kHopelessSlack;
--- a/packages/jobs/item_order.h
+++ b/packages/jobs/item_order.h
@@ -28,6 +28,10 @@
 // An item that is in time only if it runs on.
 bool IsUrgent(const ItemOutlook& outlook);
 
+// Finished items of a job are listed together, at most once in this time. Each
+// listing is a write to the store, and only the state at `until_due` counts.
+Millis ListingInterval(Millis until_due);
+
 // Whether an item with slack `a` runs before one with slack `b`: those that can
 // still be in time first, the most urgent of them before others.
 bool RunsBefore(Millis a, Millis b);
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -23,10 +23,6 @@
 // How often the scheduler looks for room without another cause.
 constexpr Millis kScheduleEvery{100};
 
-// Finished items of a job are listed together, at most so often, since each
-// write to the store is priced.
-constexpr Millis kCommitEvery{600};
-
 // What unfinished items have generated is saved at most so often, and if there
 // is so much of it. A VM that is lost costs its items that much time.
 constexpr Millis kSaveEvery{2'000};
@@ -370,6 +366,7 @@
 
 void ItemScheduler::StartCommits() {
   const Millis now = MonotonicNow();
+  const Millis wall = WallNow();
   std::vector<JobPtr> due;
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
        ++entry) {
@@ -380,8 +377,10 @@
     AbandonHopeless(job);
     const bool is_last =
         job.m_listed.size() + job.m_unlisted.size() == job.m_progress.size();
-    const bool lists = !job.m_unlisted.empty() &&
-                       (is_last || now - job.m_last_commit >= kCommitEvery);
+    const bool lists =
+        !job.m_unlisted.empty() &&
+        (is_last ||
+         now - job.m_last_commit >= ListingInterval(job.m_spec.m_due - wall));
     const bool saves =
         now - job.m_last_commit >= kSaveEvery &&
         CountPartialEvents(job) - job.m_saved_events >= kLeastSavedEvents;
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -9,13 +9,16 @@
 namespace bronzecross {
 namespace {
 
-// How often orphaned jobs are looked for, and how often the store is asked for
-// open jobs that nobody has told of.
+// How often orphaned jobs are looked for.
 constexpr Millis kTakeoverEvery{500};
-constexpr Millis kScanEvery{15'000};
 
-// Pause after the first scan, whose orphans another VM may have failed to take.
-constexpr Millis kFirstScanPause{2'500};
+// How often the store is asked for open jobs that nobody has told of: by each
+// VM after its start, when many jobs may be orphans, then by one VM of the
+// fleet.
+constexpr int kOwnScans = 2;
+constexpr Millis kOwnScanPause{2'500};
+constexpr Millis kScanEvery{5'000};
+constexpr std::string_view kScannerKey = "scan of open jobs";
 
 // After its start a VM waits this long before it judges which VMs are alive.
 constexpr Millis kSettleTime{700};
@@ -62,31 +65,47 @@
   }
 }
 
+bool JobTakeover::IsScanner(Millis now) const {
+  return m_parts.m_cluster.FirstVmFor(kScannerKey, now) ==
+         m_parts.m_cluster.Self().m_id;
+}
+
+Task<std::vector<std::string>> JobTakeover::Scan(Millis now) {
+  std::vector<std::string> orphans;
+  const bool is_own = m_own_scans < kOwnScans;
+  if (now < m_next_scan || m_draining || !(is_own || IsScanner(now))) {
+    co_return orphans;
+  }
+  const Result<std::vector<std::string>> open = co_await m_store.ListOpen();
+  if (!open) {
+    co_return orphans;
+  }
+  ++m_own_scans;
+  // Spread over time, so that the VMs don't ask at the same moment.
+  const Millis pause = is_own ? kOwnScanPause : kScanEvery;
+  m_next_scan = now + pause +
+                Millis(static_cast<int64_t>(
+                    RandomBelow(ThreadRandom(), kOwnScanPause.count())));
+  for (const std::string& id : *open) {
+    const bool is_unknown =
+        m_table.m_claims.Find(id) == nullptr && !m_table.Has(id);
+    // The one scanner takes them all, as nobody else will look for them.
+    if (is_unknown && (!is_own || m_parts.m_cluster.FirstVmFor(id, now) ==
+                                      m_parts.m_cluster.Self().m_id)) {
+      orphans.push_back(id);
+    }
+  }
+  co_return orphans;
+}
+
 Task<> JobTakeover::Run() {
   co_await Sleep(kSettleTime);
-  Millis next_scan;
-  Millis scan_pause = kFirstScanPause;
   for (;;) {
     const Millis now = MonotonicNow();
     std::vector<std::string> orphans =
         m_table.m_claims.OrphansOf(m_parts.m_cluster, now);
-    if (now >= next_scan && !m_draining) {
-      const Result<std::vector<std::string>> open = co_await m_store.ListOpen();
-      if (open) {
-        // Spread over time, so that the VMs don't ask at the same moment.
-        next_scan = now + scan_pause +
-                    Millis(static_cast<int64_t>(
-                        RandomBelow(ThreadRandom(), scan_pause.count())));
-        scan_pause = kScanEvery;
-        for (const std::string& id : *open) {
-          if (m_table.m_claims.Find(id) == nullptr && !m_table.Has(id) &&
-              m_parts.m_cluster.FirstVmFor(id, now) ==
-                  m_parts.m_cluster.Self().m_id) {
-            orphans.push_back(id);
-          }
-        }
-      }
-    }
+    const std::vector<std::string> found = co_await Scan(now);
+    orphans.insert(orphans.end(), found.begin(), found.end());
     for (const std::string& id : orphans) {
       if (!m_draining) {
         co_await TakeOver(id);
--- a/packages/jobs/job_takeover.h
+++ b/packages/jobs/job_takeover.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "jobs/job_parts.h"
 #include "jobs/job_store.h"
@@ -32,12 +33,19 @@
 
  private:
   Task<> TakeOver(std::string id);
+  // Whether this VM asks the store for open jobs on behalf of the fleet.
+  bool IsScanner(Millis now) const;
+  // Asks the store for open jobs that nobody has told of, if that is due.
+  // Returns those that this VM should take over.
+  Task<std::vector<std::string>> Scan(Millis now);
 
   const JobParts& m_parts;
   JobStore& m_store;
   JobTable& m_table;
   std::function<void(JobPtr)> m_activate;
   bool m_draining = false;
+  int m_own_scans = 0;
+  Millis m_next_scan;
 };
 
 }  // namespace bronzecross
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -45,6 +45,16 @@
   }
 }
 
+// Guards against a write for each finished item, and against items that are
+// done in time and listed late.
+TEST_CASE("finished items are listed rarely until their job is nearly due") {
+  CHECK(ListingInterval(Millis(15'000)) >= Millis(2'000));
+  CHECK(ListingInterval(Millis(1'000)) <= Millis(700));
+  CHECK(ListingInterval(Millis(-1'000)) <= Millis(700));
+  // The last rare listing comes before the frequent ones are due.
+  CHECK(ListingInterval(Millis(4'001)) < Millis(4'000));
+}
+
 JobSpec MakeSpec() {
   JobSpec spec;
   spec.m_id = "j1";
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -51,8 +51,8 @@
 
 }  // namespace
 
-KvSession::KvSession(const NetAddress& address)
-    : m_pool(address, kIdleConnection) {}
+KvSession::KvSession(const NetAddress& address, Millis history)
+    : m_pool(address, kIdleConnection), m_watch_wait(LongestWatch(history)) {}
 
 Task<Result<KvReply>> KvSession::CallDirect(KvCall call, Millis deadline) {
   CountMetric("bronzecross_store_calls_total", {{"call", call.m_name}});
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -27,7 +27,8 @@
 // later.
 class KvSession {
  public:
-  explicit KvSession(const NetAddress& address);
+  // `history`: for how long the service keeps its history.
+  KvSession(const NetAddress& address, Millis history);
 
   // `relay` must outlive this object. Without one only the direct path is used.
   void SetRelay(StoreRelay* relay) { m_relay = relay; }
@@ -37,6 +38,8 @@
   Task<Result<KvPage>> Range(std::string prefix);
   // Returns as soon as there is an event, or with none after `wait`.
   Task<Result<KvEvents>> Watch(std::string prefix, int64_t after, Millis wait);
+  // How long a watch should wait (LongestWatch()).
+  Millis WatchWait() const { return m_watch_wait; }
   Task<Result<KvOutcome>> Transact(KvTransaction transaction);
   Task<Result<KvLease>> GrantLease(Millis ttl);
   // Tries the direct path first even while it fails, which finds out whether it
@@ -66,6 +69,7 @@
   void NoteOutcome(const Result<KvReply>& reply);
 
   ConnectionPool m_pool;
+  const Millis m_watch_wait;
   StoreRelay* m_relay = nullptr;
   StorePathState m_direct;
   // Since when calls have failed on every path; zero: the last one succeeded.
--- a/packages/kv/kv_test.cc
+++ b/packages/kv/kv_test.cc
@@ -53,5 +53,14 @@
   CHECK(DirectTimeout(state) <= Millis(200));
 }
 
+// Guards against watches that outlive the service's history: each then costs a
+// second call that reads all again.
+TEST_CASE("a watch ends while it can still be continued") {
+  CHECK(LongestWatch(Millis(20'000)) < Millis(20'000));
+  CHECK(LongestWatch(Millis(20'000)) >= Millis(15'000));
+  CHECK(LongestWatch(Millis(600'000)) < Millis(30'000));
+  CHECK(LongestWatch(Millis(100)) > Millis());
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -8,10 +8,6 @@
 namespace bronzecross {
 namespace {
 
-// How long one watch waits. Each waiting watch is a priced call, and keep-alive
-// probes find a silent connection much sooner.
-constexpr Millis kWatchWait{28'000};
-
 // A VM that is behind another one for so long and two pauses after events has
 // lost a notice. Notices take a few milliseconds.
 constexpr Millis kBehindLimit{150};
@@ -42,7 +38,7 @@
   int64_t revision = m_known_up_to;
   for (;;) {
     const Result<KvEvents> events =
-        co_await m_session.Watch(m_prefix, revision, kWatchWait);
+        co_await m_session.Watch(m_prefix, revision, m_session.WatchWait());
     if (events) {
       for (const KvEvent& event : events->m_events) {
         m_last_change = std::max(m_last_change, event.m_item.m_revision);
--- a/packages/kv/store_path.cc
+++ b/packages/kv/store_path.cc
@@ -14,6 +14,13 @@
 constexpr double kShortestMs = 150;
 constexpr double kLongestMs = 1'000;
 
+// Longest wait that the service accepts, less time on the way.
+constexpr Millis kMostWatch{28'000};
+
+// Time from the end of a watch to the arrival of the next one at the service.
+constexpr Millis kContinueTime{1'500};
+constexpr Millis kLeastWatch{1'000};
+
 // Weight of a new reply in the moving average.
 constexpr double kNewWeight = 0.2;
 
@@ -40,6 +47,10 @@
   return Millis(static_cast<int64_t>(std::min(patience, kLongestMs)));
 }
 
+Millis LongestWatch(Millis history) {
+  return std::clamp(history - kContinueTime, kLeastWatch, kMostWatch);
+}
+
 StorePath FirstPath(const StorePathState& state,
                     bool can_relay,
                     bool is_probe) {
--- a/packages/kv/store_path.h
+++ b/packages/kv/store_path.h
@@ -32,6 +32,10 @@
 // neither a slow service nor a lost reply costs much.
 Millis DirectTimeout(const StorePathState& state);
 
+// How long a watch may wait at a service that keeps its history for `history`.
+// A watch that ends later can't be continued, and all must be read again.
+Millis LongestWatch(Millis history);
+
 enum class StorePath { kDirect, kRelay };
 
 // The first path of a call. `is_probe`: the call is to find out whether the
