Let two VMs of each cell watch the store for the others

Ruled out: pushing changes by datagram (they may be lost, and a configuration doesn't fit); longer gathering alone, which delays drains of upstreams.

Change: in a divided fleet the two first VMs of each cell by hash watch the store; the others keep a call open at one of them and get the changes since the revision they know, or all items if they are too far behind. A watcher that doesn't reach the store itself, stops, or is no longer one turns them away; they go to the other one or watch themselves. That VMs compare revisions in their news stays as the safety net; the note of being behind now ends once that revision is known, where it stayed and caused reads long after. Events that a concurrent read included are no longer replayed. Only the first VM for a machine that is to be emptied calls the store about it.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -148,6 +148,10 @@
   m_node.m_quotas.SetCalls(&m_peer_calls);
   m_node.m_operator = &m_operator;
   m_node.m_upstream_list = &m_upstreams;
+  m_node.m_vm_list = &m_vms;
+  for (PrefixFollower* follower : {&m_operator, &m_upstreams, &m_vms}) {
+    follower->SetSource(&m_peer_calls);
+  }
   m_node.m_kv.SetRelay(&m_peer_calls);
 }
 
@@ -277,7 +281,7 @@
 Task<> Gateway::ReportEmptied(std::string vm) {
   // Nothing of the system lies on disks, so a disk is empty at once.
   const std::string key = platform::EmptiedKey(vm);
-  for (;;) {
+  while (m_emptied.contains(vm)) {
     if (m_node.m_cluster.FirstVmFor(key, MonotonicNow()) ==
         m_node.m_cluster.Self().m_id) {
       KvTransaction transaction;
@@ -289,12 +293,8 @@
             {{"vm", vm}});
         co_return;
       }
-    } else {
-      const Result<KvItem> done = co_await m_node.m_kv.Get(key);
-      if (done) {
-        co_return;
-      }
     }
+    // The others look whether it is their turn: the first one may be lost.
     co_await Sleep(kSeedEvery);
   }
 }
@@ -412,6 +412,9 @@
   m_node.m_draining_since = started;
   m_node.m_drain_started.NotifyAll();
   m_jobs.Drain();
+  for (PrefixFollower* follower : {&m_operator, &m_upstreams, &m_vms}) {
+    follower->StopSharing();
+  }
   const Millis limit = started + m_node.m_settings.m_drain_limit - kExitMargin;
   co_await WaitAny(std::min(limit, started + kDrainNotice));
   // New callers are turned away from here on, so that none is cut at the end.
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -5,6 +5,7 @@
 #include "dispatch/pick_upstream.h"
 #include "gateway/news_exchange.h"
 #include "jobs/job_service.h"
+#include "kv/prefix_follower.h"
 
 namespace bronzecross {
 namespace {
@@ -73,6 +74,15 @@
   }
 }
 
+PrefixFollower* Node::FindFollower(std::string_view prefix) {
+  for (PrefixFollower* follower : {m_operator, m_upstream_list, m_vm_list}) {
+    if (follower->Prefix() == prefix) {
+      return follower;
+    }
+  }
+  return nullptr;
+}
+
 bool Node::IsReady() const {
   return m_config != nullptr && m_upstreams.IsLoaded() &&
          m_draining_since == Millis();
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -39,6 +39,8 @@
   void InstallConfig(FleetConfigPtr config, int64_t revision);
   // Hands out slots of all services.
   void DispatchAll();
+  // The follower of the keys with `prefix`; null if they aren't followed.
+  PrefixFollower* FindFollower(std::string_view prefix);
   // Whether the load balancer may send callers.
   bool IsReady() const;
 
@@ -60,6 +62,7 @@
   PeerCalls* m_peer_calls = nullptr;
   PrefixFollower* m_operator = nullptr;
   PrefixFollower* m_upstream_list = nullptr;
+  PrefixFollower* m_vm_list = nullptr;
 
   const Millis m_started = MonotonicNow();
   // Zero until the process was told to stop.
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -6,6 +6,8 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "cluster/watchers.h"
+#include "gateway/changes_message.h"
 
 namespace bronzecross {
 namespace {
@@ -26,6 +28,12 @@
 // and back, with a new connection.
 constexpr Millis kTokenCallTime{60};
 
+// How long a watcher that failed isn't asked again.
+constexpr Millis kWatcherPause{2'000};
+
+// Added to the wait for changes before the watcher counts as lost.
+constexpr Millis kChangesSlack{1'000};
+
 constexpr int kOkStatus = 200;
 constexpr int kTooManyStatus = 429;
 
@@ -108,6 +116,60 @@
   co_return tl::unexpected<Error>(error);
 }
 
+std::string PeerCalls::ChooseWatcher(Millis now) const {
+  const std::string& self = m_cluster.Self().m_id;
+  const std::vector<std::string> watchers =
+      FindWatchers(self, m_cluster.OwnCell());
+  if (std::find(watchers.begin(), watchers.end(), self) != watchers.end()) {
+    return "";
+  }
+  std::vector<std::string> usable;
+  for (const std::string& watcher : watchers) {
+    const auto peer = m_cluster.Peers().find(watcher);
+    const auto failed = m_failed_watchers.find(watcher);
+    if (peer != m_cluster.Peers().end() &&
+        IsHeard(peer->second, now, kFreshNews) &&
+        peer->second.m_news.m_reaches_store &&
+        (failed == m_failed_watchers.end() || failed->second <= now)) {
+      usable.push_back(watcher);
+    }
+  }
+  return usable.empty() ? "" : usable[ShortHash(self) % usable.size()];
+}
+
+bool PeerCalls::HasWatcher() const {
+  return !ChooseWatcher(MonotonicNow()).empty();
+}
+
+Task<Result<KvChanges>> PeerCalls::WaitForChanges(std::string prefix,
+                                                  int64_t after,
+                                                  Millis wait) {
+  const std::string watcher = ChooseWatcher(MonotonicNow());
+  WholeRequest request;
+  request.m_head.m_method = "GET";
+  request.m_head.m_target = std::string(kPeerChangesPath);
+  request.m_head.Add(kPeerPrefixField, prefix);
+  request.m_head.Add(kPeerAfterField, Concat(after));
+  request.m_head.Add(kPeerPatienceField, Concat(wait.count()));
+  const Result<WholeResponse> response = co_await Call(
+      watcher, std::move(request), MonotonicNow() + wait + kChangesSlack);
+  std::optional<KvChanges> changes;
+  if (response && response->m_head.m_status == kOkStatus) {
+    changes = DecodeChanges(response->m_body);
+  }
+  if (changes) {
+    co_return *std::move(changes);
+  }
+  m_failed_watchers[watcher] = MonotonicNow() + kWatcherPause;
+  Log(Severity::kInfo, LogPart::kStore, "A watcher didn't tell of changes.",
+      {{"vm", watcher},
+       {"prefix", prefix},
+       {"after", after},
+       {"reason", response ? Concat("status ", response->m_head.m_status)
+                           : response.error().m_message}});
+  co_return Fail(ResultCode::kPeerUnavailable, "the watcher didn't answer");
+}
+
 bool PeerCalls::CanRelay() const {
   return !RelayPeers().empty();
 }
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -1,6 +1,6 @@
 // Calls between VMs over kept HTTP/1.1 connections: store calls carried for a
-// VM that the store turns away, calls about jobs for the VM that runs them, and
-// requests for rate tokens.
+// VM that the store turns away, changes of the store for VMs that don't watch
+// it, calls about jobs for the VM that runs them, and requests for rate tokens.
 
 #ifndef BRONZECROSS_GATEWAY_PEER_CALLS_H_
 #define BRONZECROSS_GATEWAY_PEER_CALLS_H_
@@ -15,7 +15,7 @@
 #include "gateway/caller_reply.h"
 #include "http1/connection_pool.h"
 #include "http1/exchange.h"
-#include "kv/kv_session.h"
+#include "kv/prefix_follower.h"
 #include "quota/quota_keeper.h"
 
 namespace bronzecross {
@@ -25,6 +25,7 @@
 inline constexpr std::string_view kPeerJobPath = "/peer/job/";
 inline constexpr std::string_view kPeerVmsPath = "/peer/vms";
 inline constexpr std::string_view kPeerTokenPath = "/peer/token";
+inline constexpr std::string_view kPeerChangesPath = "/peer/changes";
 
 // Fields of the calls.
 inline constexpr std::string_view kPeerMethodField = "X-Method";
@@ -37,8 +38,11 @@
 // In milliseconds.
 inline constexpr std::string_view kPeerPatienceField = "X-Patience";
 inline constexpr std::string_view kPeerRetryField = "X-Retry-After";
+inline constexpr std::string_view kPeerPrefixField = "X-Prefix";
+// A revision of the store.
+inline constexpr std::string_view kPeerAfterField = "X-After";
 
-class PeerCalls : public StoreRelay, public TokenCalls {
+class PeerCalls : public StoreRelay, public TokenCalls, public ChangeSource {
  public:
   explicit PeerCalls(const ClusterView& cluster) : m_cluster(cluster) {}
 
@@ -60,7 +64,14 @@
                            std::string workspace,
                            Millis patience) override;
 
+  bool HasWatcher() const override;
+  Task<Result<KvChanges>> WaitForChanges(std::string prefix,
+                                         int64_t after,
+                                         Millis wait) override;
+
  private:
+  // The watcher of this VM's cell that it asks; empty if it watches itself.
+  std::string ChooseWatcher(Millis now) const;
   // Peers heard from lately that reach the store.
   std::vector<std::string> RelayPeers() const;
   ConnectionPool& PoolOf(const NetAddress& address);
@@ -69,6 +80,8 @@
   std::map<std::string, std::unique_ptr<ConnectionPool>> m_pools;
   // The peer that carried the last call; tried first.
   std::string m_relay_peer;
+  // Watchers that didn't answer, and until when they aren't asked again.
+  std::map<std::string, Millis, std::less<>> m_failed_watchers;
 };
 
 }  // namespace bronzecross
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -4,10 +4,12 @@
 
 #include "base/log.h"
 #include "base/text.h"
+#include "gateway/changes_message.h"
 #include "gateway/incoming_request.h"
 #include "gateway/job_calls.h"
 #include "gateway/peer_calls.h"
 #include "http1/write_message.h"
+#include "kv/prefix_follower.h"
 
 namespace bronzecross {
 namespace {
@@ -22,6 +24,9 @@
 // A watch carried for a peer waits up to half a minute.
 constexpr Millis kStoreTimeout{30'000};
 
+// A VM that waits for changes asks again after this.
+constexpr Millis kMostChangesWait{30'000};
+
 constexpr size_t kMostBodyBytes = 8 << 20;
 
 MessageHead MakeHead(int status) {
@@ -94,6 +99,26 @@
   QueueReply(peer, std::move(answer), "");
 }
 
+// Changes of the store for a VM that doesn't watch it.
+Task<> AnswerChanges(Node& node, HttpConnection& peer) {
+  const MessageHead& head = peer.Parser().GetHead();
+  PrefixFollower* follower = node.FindFollower(head.Find(kPeerPrefixField));
+  const std::optional<int64_t> after = ParseDecimal(head.Find(kPeerAfterField));
+  const std::optional<int64_t> wait =
+      ParseDecimal(head.Find(kPeerPatienceField));
+  if (follower == nullptr || !after || !wait) {
+    QueueReply(peer, MakeHead(404), "");
+    co_return;
+  }
+  const Result<KvChanges> changes = co_await follower->Share(
+      *after, std::min(Millis(*wait), kMostChangesWait));
+  if (!changes) {
+    QueueReply(peer, MakeHead(503), "");
+    co_return;
+  }
+  QueueReply(peer, MakeHead(200), EncodeChanges(*changes));
+}
+
 // The VMs that this one knows, for a VM that starts while the store is away.
 void AnswerVms(Node& node, HttpConnection& peer) {
   nlohmann::json list = nlohmann::json::array();
@@ -122,6 +147,8 @@
     const std::string target = peer.Parser().GetHead().m_target;
     if (target == kPeerStorePath) {
       co_await AnswerStoreCall(node, peer);
+    } else if (target == kPeerChangesPath) {
+      co_await AnswerChanges(node, peer);
     } else if (target == kPeerTokenPath) {
       co_await AnswerTokenCall(node, peer);
     } else if (target.starts_with(kPeerJobPath)) {
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -95,7 +95,11 @@
   const Millis now = MonotonicNow();
   if (direct && !IsRefusal(*direct)) {
     if (kind != CallKind::kWatch) {
+      const bool was_failing = IsFailing(m_direct);
       NoteReply(m_direct, now - started);
+      if (was_failing) {
+        m_direct_changed.NotifyAll();
+      }
     }
     co_return direct;
   }
@@ -107,6 +111,7 @@
     co_return direct;
   }
   NoteFailedCall(m_direct, now, may_have_run);
+  m_direct_changed.NotifyAll();
   if (!may_switch) {
     co_return direct;
   }
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -52,6 +52,8 @@
 
   // Whether this VM reaches the service without help.
   bool ReachesDirectly() const { return !IsFailing(m_direct); }
+  // Notified when ReachesDirectly() changes.
+  Condition& DirectPathChanged() { return m_direct_changed; }
   // Pauses after a failed call: until the service is reachable again, or for a
   // short time that differs between VMs.
   Task<> PauseAfterFailure();
@@ -72,6 +74,7 @@
   const Millis m_watch_wait;
   StoreRelay* m_relay = nullptr;
   StorePathState m_direct;
+  Condition m_direct_changed;
   // Since when calls have failed on every path; zero: the last one succeeded.
   Millis m_failing_since;
   Condition m_recovered;
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -1,6 +1,7 @@
 #include "kv/prefix_follower.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "aio/wait.h"
 #include "base/log.h"
@@ -12,6 +13,13 @@
 // lost a notice. Notices take a few milliseconds.
 constexpr Millis kBehindLimit{150};
 
+// How long another VM is asked to wait for a change. Its loss shows earlier, by
+// the end of the connection or by keep-alive probes.
+constexpr Millis kSourceWait{10'000};
+
+// Changes kept for other VMs. One that is behind by more gets all items.
+constexpr size_t kMostEvents = 256;
+
 }  // namespace
 
 PrefixFollower::PrefixFollower(KvSession& session,
@@ -19,45 +27,101 @@
                                PrefixHandlers handlers)
     : m_session(session),
       m_prefix(std::move(prefix)),
-      m_handlers(std::move(handlers)) {}
+      m_handlers(std::move(handlers)),
+      m_log(kMostEvents) {}
+
+void PrefixFollower::OnSnapshot(std::span<const KvItem> items,
+                                int64_t known_up_to) {
+  for (const KvItem& item : items) {
+    m_last_change = std::max(m_last_change, item.m_revision);
+  }
+  m_log.Reset(items, known_up_to);
+  m_is_loaded = true;
+  m_handlers.m_on_snapshot(items);
+  m_changed.NotifyAll();
+}
+
+void PrefixFollower::OnEvents(std::span<const KvEvent> events,
+                              int64_t known_up_to) {
+  const int64_t before = m_log.KnownUpTo();
+  for (const KvEvent& event : events) {
+    // All may have been read again while the watch was open.
+    if (event.m_item.m_revision <= before) {
+      continue;
+    }
+    m_last_change = std::max(m_last_change, event.m_item.m_revision);
+    m_log.Add(event);
+    m_handlers.m_on_event(event);
+  }
+  m_log.AdvanceTo(known_up_to);
+  if (!events.empty()) {
+    m_changed.NotifyAll();
+  }
+}
 
 Task<bool> PrefixFollower::ReadAll() {
   const Result<KvPage> snapshot = co_await m_session.Range(m_prefix);
   if (!snapshot) {
     co_return false;
   }
-  for (const KvItem& item : snapshot->m_items) {
-    m_last_change = std::max(m_last_change, item.m_revision);
+  // Another VM may have told of later changes while the reply was on its way.
+  if (!m_is_loaded || snapshot->m_store_revision >= m_log.KnownUpTo()) {
+    OnSnapshot(snapshot->m_items, snapshot->m_store_revision);
+  }
+  co_return true;
+}
+
+Task<bool> PrefixFollower::FollowService() {
+  const int64_t after = m_log.KnownUpTo();
+  const Result<KvEvents> events =
+      co_await m_session.Watch(m_prefix, after, m_session.WatchWait());
+  if (!events) {
+    if (events.error().m_code == ResultCode::kHistoryGone) {
+      Log(Severity::kInfo, LogPart::kStore,
+          "The store dropped its history; reading all again.",
+          {{"prefix", m_prefix}, {"revision", after}});
+      co_return false;
+    }
+    co_await m_session.PauseAfterFailure();
+    co_return true;
+  }
+  OnEvents(events->m_events, events->m_store_revision);
+  if (!events->m_events.empty()) {
+    co_await Sleep(m_gather_time);
   }
-  m_known_up_to = std::max(m_known_up_to, snapshot->m_store_revision);
-  m_handlers.m_on_snapshot(snapshot->m_items);
   co_return true;
 }
 
+Task<> PrefixFollower::FollowSource() {
+  const Result<KvChanges> changes = co_await m_source->WaitForChanges(
+      m_prefix, m_log.KnownUpTo(), kSourceWait);
+  // All was read again meanwhile if this VM knows more now.
+  if (!changes || changes->m_known_up_to < m_log.KnownUpTo()) {
+    co_return;
+  }
+  if (changes->m_is_snapshot) {
+    std::vector<KvItem> items;
+    for (const KvEvent& event : changes->m_events) {
+      items.push_back(event.m_item);
+    }
+    OnSnapshot(items, changes->m_known_up_to);
+    co_return;
+  }
+  OnEvents(changes->m_events, changes->m_known_up_to);
+}
+
 Task<> PrefixFollower::Follow() {
-  int64_t revision = m_known_up_to;
   for (;;) {
-    const Result<KvEvents> events =
-        co_await m_session.Watch(m_prefix, revision, m_session.WatchWait());
-    if (events) {
-      for (const KvEvent& event : events->m_events) {
-        m_last_change = std::max(m_last_change, event.m_item.m_revision);
-        m_handlers.m_on_event(event);
-      }
-      revision = std::max(revision, events->m_store_revision);
-      m_known_up_to = std::max(m_known_up_to, revision);
-      if (!events->m_events.empty()) {
-        co_await Sleep(m_gather_time);
-      }
+    m_watches_service = m_source == nullptr || !m_source->HasWatcher();
+    if (!m_watches_service) {
+      m_changed.NotifyAll();
+      co_await FollowSource();
       continue;
     }
-    if (events.error().m_code == ResultCode::kHistoryGone) {
-      Log(Severity::kInfo, LogPart::kStore,
-          "The store dropped its history; reading all again.",
-          {{"prefix", m_prefix}, {"revision", revision}});
+    const bool goes_on = co_await FollowService();
+    if (!goes_on) {
       co_return;
     }
-    co_await m_session.PauseAfterFailure();
   }
 }
 
@@ -76,14 +140,15 @@
   m_reading_again = true;
   co_await ReadAll();
   m_reading_again = false;
-  m_behind_since = Millis();
+  m_behind = 0;
 }
 
 void PrefixFollower::OnPeerChange(int64_t revision, Millis now) {
-  if (revision <= m_known_up_to || m_known_up_to == 0) {
+  if (!m_is_loaded || revision <= m_log.KnownUpTo()) {
     return;
   }
-  if (m_behind_since == Millis()) {
+  if (m_behind <= m_log.KnownUpTo()) {
+    m_behind = revision;
     m_behind_since = now;
     return;
   }
@@ -92,10 +157,35 @@
     Log(Severity::kWarning, LogPart::kStore,
         "Another VM knows a later change; reading all again.",
         {{"prefix", m_prefix},
-         {"known_up_to", m_known_up_to},
+         {"known_up_to", m_log.KnownUpTo()},
          {"change", revision}});
     Spawn(ReadAgain());
   }
 }
 
+bool PrefixFollower::CanShare() const {
+  return m_is_loaded && m_watches_service && !m_is_sharing_stopped &&
+         m_session.ReachesDirectly();
+}
+
+Task<Result<KvChanges>> PrefixFollower::Share(int64_t after, Millis wait) {
+  const Millis until = MonotonicNow() + wait;
+  while (CanShare() && !m_log.HasNewsSince(after) && MonotonicNow() < until) {
+    WaitAny any(until);
+    any.Add(m_changed);
+    any.Add(m_session.DirectPathChanged());
+    co_await any;
+  }
+  if (!CanShare()) {
+    co_return Fail(ResultCode::kPeerUnavailable,
+                   "this VM doesn't watch the store itself");
+  }
+  co_return m_log.Since(after);
+}
+
+void PrefixFollower::StopSharing() {
+  m_is_sharing_stopped = true;
+  m_changed.NotifyAll();
+}
+
 }  // namespace bronzecross
