Register with a lease of the right length; call a store that is away less

Cause: a restarted VM took a lease of 3 s before it knew the size of the fleet and replaced it at once, three calls for each VM. While the store was away, VMs that made no calls of their own kept telling the others that they reach it, so calls were carried to them in vain, and each submission tried four times.

Change: the first lease waits up to 0.3 s for the list of VMs; a VM that is refused on behalf of a peer notes its own path as failing; a submission makes no further calls while no path works, and is refused after 0.35 s as before.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -46,6 +46,7 @@
 }
 
 void ClusterView::OnSnapshot(std::span<const KvItem> items) {
+  m_loaded = true;
   m_self_listed = false;
   for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
     entry->second.m_listed = false;
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -59,6 +59,8 @@
   // the sender, or null if the news is dropped.
   PeerVm* OnNews(PeerNews news, Millis now);
 
+  // Whether the service has told of the VMs at least once.
+  bool IsLoaded() const { return m_loaded; }
   // Whether the service lists this VM's present incarnation.
   bool IsSelfListed() const { return m_self_listed; }
   // Whether an earlier incarnation of this VM was still registered when this
@@ -80,6 +82,7 @@
   void Put(const VmRecord& record);
 
   VmRecord m_self;
+  bool m_loaded = false;
   bool m_self_listed = false;
   Cell m_cell;
   bool m_replaces_earlier_self = false;
--- a/packages/cluster/vm_registration.cc
+++ b/packages/cluster/vm_registration.cc
@@ -22,6 +22,11 @@
 // single VMs that come and go cost nothing.
 constexpr int64_t kTtlTolerance = 2;
 
+// The first lease waits so long for the size of the fleet, which the store
+// tells in some milliseconds. A lease that doesn't fit costs three calls to
+// replace.
+constexpr Millis kSizeWait{300};
+
 Millis RenewInterval(Millis ttl) {
   return ttl / 2 - kRenewMargin / 2;
 }
@@ -114,7 +119,18 @@
   co_return false;
 }
 
+void VmRegistration::SetFleetSize(int vms) {
+  m_fleet_size = vms;
+  m_size_known.NotifyAll();
+}
+
 Task<> VmRegistration::Run() {
+  const Millis wait_until = MonotonicNow() + kSizeWait;
+  while (m_fleet_size == 0 && MonotonicNow() < wait_until) {
+    WaitAny wait(wait_until);
+    wait.Add(m_size_known);
+    co_await wait;
+  }
   int failures = 0;  // in a row
   while (!m_ended) {
     const Millis began = MonotonicNow();
--- a/packages/cluster/vm_registration.h
+++ b/packages/cluster/vm_registration.h
@@ -28,8 +28,9 @@
   // Ends the lease, so that the others need not wait for it.
   Task<> End();
 
-  // The lease follows the size of the fleet at a later renewal.
-  void SetFleetSize(int vms) { m_fleet_size = vms; }
+  // The lease follows the size of the fleet, once it has changed a lot at a
+  // later renewal. The first one waits a moment for it.
+  void SetFleetSize(int vms);
 
   // Whether the lease is known to hold. Counted in time that also passes while
   // the VM is suspended.
@@ -46,7 +47,8 @@
 
   KvSession& m_kv;
   VmRecord m_self;
-  int m_fleet_size = 1;
+  int m_fleet_size = 0;  // 0: not known yet
+  Condition m_size_known;
   Millis m_ttl;
   int64_t m_lease = 0;     // 0: none
   bool m_written = false;  // the record, under this lease
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -271,6 +271,8 @@
   PrefixHandlers handlers;
   handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
     m_node.m_cluster.OnSnapshot(items);
+    OnFleetChange();
+    m_node.m_configured.NotifyAll();
   };
   handlers.m_on_event = [this](const KvEvent& event) {
     m_node.m_cluster.OnEvent(event);
@@ -310,6 +312,14 @@
 
 }  // namespace
 
+void Gateway::OnFleetChange() {
+  m_node.m_cluster.RefreshCell(MonotonicNow());
+  const int vms = m_node.m_cluster.OwnCell().m_fleet_size;
+  m_upstreams.SetGatherTime(GatherTime(vms));
+  m_vms.SetGatherTime(GatherTime(vms));
+  m_node.m_registration.SetFleetSize(vms);
+}
+
 Task<> Gateway::RunUpkeep() {
   Millis counted_since;  // zero: not yet
   for (;;) {
@@ -317,11 +327,9 @@
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
     m_node.m_breaks.Expire(now);
-    m_node.m_cluster.RefreshCell(now);
-    const Millis gather = GatherTime(m_node.m_cluster.OwnCell().m_fleet_size);
-    m_upstreams.SetGatherTime(gather);
-    m_vms.SetGatherTime(gather);
-    m_node.m_registration.SetFleetSize(m_node.m_cluster.OwnCell().m_fleet_size);
+    if (m_node.m_cluster.IsLoaded()) {
+      OnFleetChange();
+    }
     m_node.m_upstreams.RefreshNear(m_node.m_cluster.OwnCell(),
                                    m_node.m_settings.m_zone);
     const int members = m_node.m_cluster.CountMembers(now);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -38,6 +38,8 @@
   PrefixHandlers OperatorHandlers();
   PrefixHandlers UpstreamHandlers();
   PrefixHandlers VmHandlers();
+  // Adapts the cell, pauses and the lease to the VMs that are known now.
+  void OnFleetChange();
   Task<> RunUpkeep();
   Task<> AskSeeds();
   Task<> AskSeed(NetAddress seed);
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -48,7 +48,7 @@
   call.m_method = std::string(head.Find(kPeerMethodField));
   call.m_target = std::string(head.Find(kPeerTargetField));
   call.m_body = std::move(peer.Parser().Body());
-  const Result<KvReply> reply = co_await node.m_kv.CallDirect(
+  const Result<KvReply> reply = co_await node.m_kv.CallForPeer(
       std::move(call), MonotonicNow() + kStoreTimeout);
   if (!reply) {
     MessageHead failed = MakeHead(502);
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -113,19 +113,26 @@
 Task<> JobService::CreateTask(JobPtr job,
                               std::shared_ptr<PendingCreate> pending) {
   for (;;) {
-    Result<WriteEnd> end = co_await m_store.Create(*job);
-    if (end || end.error().m_code == ResultCode::kCorrupt) {
-      pending->m_end = std::move(end);
-      break;
+    if (!m_parts.m_kv.IsUnreachable()) {
+      Result<WriteEnd> end = co_await m_store.Create(*job);
+      if (end || end.error().m_code == ResultCode::kCorrupt) {
+        pending->m_end = std::move(end);
+        break;
+      }
+      pending->m_may_exist =
+          pending->m_may_exist || end.error().m_run == RunState::kUnknown;
     }
-    pending->m_may_exist =
-        pending->m_may_exist || end.error().m_run == RunState::kUnknown;
     if (pending->m_given_up && !pending->m_may_exist) {
       pending->m_refused = true;
       pending->m_changed.NotifyAll();
       co_return;
     }
-    co_await Sleep(kCreatePause);
+    const Millis pause_until = MonotonicNow() + kCreatePause;
+    if (m_parts.m_kv.IsUnreachable()) {
+      co_await m_parts.m_kv.WaitUntilReachable(pause_until);
+    } else {
+      co_await WaitAny(pause_until);
+    }
   }
   pending->m_done = true;
   pending->m_changed.NotifyAll();
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -110,8 +110,7 @@
   if (kind == CallKind::kWatch && may_have_run) {
     co_return direct;
   }
-  NoteFailedCall(m_direct, now, may_have_run);
-  m_direct_changed.NotifyAll();
+  NoteDirectFailure(now, may_have_run);
   if (!may_switch) {
     co_return direct;
   }
@@ -122,6 +121,22 @@
   co_return relayed;
 }
 
+void KvSession::NoteDirectFailure(Millis now, bool timed_out) {
+  NoteFailedCall(m_direct, now, timed_out);
+  m_direct_changed.NotifyAll();
+}
+
+Task<Result<KvReply>> KvSession::CallForPeer(KvCall call, Millis deadline) {
+  Result<KvReply> reply = co_await CallDirect(std::move(call), deadline);
+  const bool is_refused =
+      reply ? IsRefusal(*reply) : reply.error().m_run == RunState::kNotRun;
+  // Otherwise the others would go on to ask this VM until its own next call.
+  if (is_refused) {
+    NoteDirectFailure(MonotonicNow(), false);
+  }
+  co_return reply;
+}
+
 Task<Result<KvReply>> KvSession::Call(KvCall call,
                                       Millis timeout,
                                       CallKind kind) {
@@ -167,8 +182,11 @@
   const Millis random(
       static_cast<int64_t>(RandomBelow(ThreadRandom(), kRandomPause.count())));
   co_await Sleep(kShortestPause + random);
+  co_await WaitUntilReachable(MonotonicNow() + kLongestPause);
+}
+
+Task<> KvSession::WaitUntilReachable(Millis until) {
   // The renewals of the lease find out when the service is back.
-  const Millis until = MonotonicNow() + kLongestPause;
   while (IsUnreachable() && MonotonicNow() < until) {
     WaitAny wait(until);
     wait.Add(m_recovered);
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -47,13 +47,17 @@
   Task<Status> KeepLease(int64_t lease);
   Task<> EndLease(int64_t lease);
 
-  // One exchange on the direct path only, as other VMs ask for it.
-  Task<Result<KvReply>> CallDirect(KvCall call, Millis deadline);
+  // One exchange on the direct path, for another VM.
+  Task<Result<KvReply>> CallForPeer(KvCall call, Millis deadline);
 
   // Whether this VM reaches the service without help.
   bool ReachesDirectly() const { return !IsFailing(m_direct); }
   // Notified when ReachesDirectly() changes.
   Condition& DirectPathChanged() { return m_direct_changed; }
+  // Whether no path is known to work.
+  bool IsUnreachable() const;
+  // Waits until a path works again, at most until `until`.
+  Task<> WaitUntilReachable(Millis until);
   // Pauses after a failed call: until the service is reachable again, or for a
   // short time that differs between VMs.
   Task<> PauseAfterFailure();
@@ -66,8 +70,8 @@
 
   Task<Result<KvReply>> Call(KvCall call, Millis timeout, CallKind kind);
   Task<Result<KvReply>> CallAnyPath(KvCall call, Millis timeout, CallKind kind);
-  // Whether no path is known to work.
-  bool IsUnreachable() const;
+  Task<Result<KvReply>> CallDirect(KvCall call, Millis deadline);
+  void NoteDirectFailure(Millis now, bool timed_out);
   void NoteOutcome(const Result<KvReply>& reply);
 
   ConnectionPool m_pool;
