Add a randomized soak of gateways under overlapping faults

Real gateway processes among the stand-ins: VMs are killed, paused, stopped, reloaded and restarted by signals, alone and all at once; their way to the store is refused, slowed, silenced one way and reset by a proxy; the store refuses, loses replies, drops history and keeps watches silent; keys change; upstreams refuse, cut streams, fall silent, go dark behind a proxy and leave. Two sequences of VM faults, one of upstreams and one of the store run side by side.

Callers keep connections until these end. Checked from what callers and upstreams see: whole answers, at most one run, refusals that are true, attempts, keys and workspaces, the rate over any 5 s, jobs that are whole and keep their positions, jobs that end, upstreams that leave, planned stops that cut nothing, processes that end by themselves, and service after the faults.

Not covered: datagrams between VMs and clocks can't be disturbed from outside without privileges; gateways keep nothing on disks.

--- a/standins/platform_replica_standin.cc
+++ b/standins/platform_replica_standin.cc
@@ -58,7 +58,8 @@
 void PlatformReplicaStandin::Register(std::string_view state) {
   json entry;
   entry["service"] = m_options.m_service;
-  entry["address"] = m_server.Address().ToString();
+  entry["address"] =
+      (m_listed.m_port == 0 ? m_server.Address() : m_listed).ToString();
   entry["zone"] = m_options.m_zone;
   entry["version"] = "v1";
   entry["slots"] = m_options.m_slots;
@@ -143,6 +144,7 @@
     return NotRun(503);
   }
   ReplicaRun run;
+  run.m_at = MonotonicNow();
   run.m_request_id = id;
   run.m_path = request.m_path;
   run.m_body = request.m_body;
--- a/standins/platform_replica_standin.h
+++ b/standins/platform_replica_standin.h
@@ -36,6 +36,7 @@
 
 // A request that the replica ran.
 struct ReplicaRun {
+  Millis m_at;
   std::string m_request_id;
   std::string m_path;
   std::string m_body;
@@ -56,6 +57,8 @@
   // Writes its entry with the given state.
   void Register(std::string_view state);
   void Unregister();
+  // From the next Register() on its entry names `address`, as of a proxy.
+  void SetListedAddress(const NetAddress& address) { m_listed = address; }
   const NetAddress& Address() const { return m_server.Address(); }
   // Ends as a crash does; the entry stays.
   void Crash();
@@ -81,6 +84,7 @@
 
   PlatformStoreStandin& m_store;
   const PlatformReplicaOptions m_options;
+  NetAddress m_listed;  // without a port: its own
   absl::Mutex m_mutex;
   PlatformReplicaFaults m_faults ABSL_GUARDED_BY(m_mutex);
   std::vector<ReplicaRun> m_runs ABSL_GUARDED_BY(m_mutex);
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -1,5 +1,6 @@
 #include "harness/gateway_cluster.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -123,6 +124,15 @@
                      Concat(vm.m_folder, "/log"));
 }
 
+void GatewayCluster::ReloadVm(size_t index) {
+  WriteSettings(index);
+  m_vms[index]->m_process.Signal(SIGHUP);
+}
+
+NetAddress GatewayCluster::CallerAddress(size_t vm) const {
+  return NetAddress{m_ip, static_cast<uint16_t>(m_vms[vm]->m_callers)};
+}
+
 bool GatewayCluster::IsReady(size_t vm) {
   HttpCall call;
   call.m_url = Concat("http://", m_ip, ":", m_vms[vm]->m_readiness,
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -66,6 +66,11 @@
   bool IsReady(size_t vm);
   void StartVm(size_t vm);
   void WaitReady(size_t vm);
+  // Rewrites the VM's settings and tells it with SIGHUP.
+  void ReloadVm(size_t vm);
+  NetAddress CallerAddress(size_t vm) const;
+  int VmCount() const { return m_options.m_vms; }
+  int EngineCount() const { return m_options.m_engines; }
 
   // Reads a job's results until all are listed or `timeout` passes.
   nlohmann::json WaitForResults(int vm, const std::string& job, Millis timeout);
--- /dev/null
+++ b/tests/soak/fault_stream.h
@@ -0,0 +1,25 @@
+// Sequences of faults drawn from a seed. Several run side by side, so that
+// faults overlap.
+
+#ifndef BRONZECROSS_TESTS_SOAK_FAULT_STREAM_H_
+#define BRONZECROSS_TESTS_SOAK_FAULT_STREAM_H_
+
+#include <cstdint>
+
+#include "soak/soak_world.h"
+
+namespace bronzecross {
+
+// Each returns after its last fault has ended, some seconds after `until` at
+// most. Kills, pauses, graceful stops and reloads of VMs, and faults on a VM's
+// way to the store:
+void RunVmFaults(SoakWorld& world, uint64_t seed, Millis until);
+// Refusals, lost replies, dropped history and silent watches of the store, and
+// changes of the configuration:
+void RunStoreFaults(SoakWorld& world, uint64_t seed, Millis until);
+// Refusals, cut streams, silence, resets and planned departures of upstreams:
+void RunEngineFaults(SoakWorld& world, uint64_t seed, Millis until);
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_TESTS_SOAK_FAULT_STREAM_H_
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,66 @@
+// What the parts of a soak share: the system under test, the proxies before its
+// upstreams, and the log.
+
+#ifndef BRONZECROSS_TESTS_SOAK_SOAK_WORLD_H_
+#define BRONZECROSS_TESTS_SOAK_SOAK_WORLD_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <absl/synchronization/mutex.h>
+
+#include "harness/gateway_cluster.h"
+#include "soak/soak_log.h"
+
+namespace bronzecross {
+
+struct SoakOptions {
+  uint64_t m_seed = 1;
+  int m_vms = 4;
+  int m_engines = 4;
+  int m_online_callers = 12;
+  int m_job_callers = 3;
+  Millis m_length{12'000};  // of the faults; checks follow
+  bool m_prints = false;
+};
+
+// Limit of the first workspace; the second one has none.
+inline constexpr double kSoakRatePerS = 60;
+inline constexpr double kSoakBurst = 30;
+// Events of each stream.
+inline constexpr int kSoakEvents = 12;
+
+struct SoakWorld {
+  const SoakOptions& m_options;
+  SoakLog& m_log;
+  GatewayCluster& m_cluster;
+  std::vector<std::unique_ptr<FaultProxy>> m_engine_proxies;
+  // Callers start nothing new once it is set.
+  std::atomic<bool> m_stopping = false;
+
+  // VMs under a fault of their own process. A VM is claimed by one fault at a
+  // time.
+  bool ClaimVm(int vm) {
+    absl::MutexLock lock(&m_mutex);
+    return m_claimed.insert(vm).second;
+  }
+  void ReleaseVm(int vm) {
+    absl::MutexLock lock(&m_mutex);
+    m_claimed.erase(vm);
+  }
+
+ private:
+  absl::Mutex m_mutex;
+  std::set<int> m_claimed ABSL_GUARDED_BY(m_mutex);
+
+ public:
+  SoakWorld(const SoakOptions& options, SoakLog& log, GatewayCluster& cluster)
+      : m_options(options), m_log(log), m_cluster(cluster) {}
+};
+
+}  // namespace bronzecross
+
+#endif  // BRONZECROSS_TESTS_SOAK_SOAK_WORLD_H_
