Make the soak strike upstreams harder

Change: two sequences of upstream faults instead of one, cut answers three times as often, twice the callers.

--- a/tests/soak/fault_stream.cc
+++ b/tests/soak/fault_stream.cc
@@ -239,7 +239,7 @@
   FaultProxy& proxy = *world.m_engine_proxies[Index(engine)];
   PlatformReplicaFaults faults;
   ProxyFaults path;
-  switch (draw.Between(0, 6)) {
+  switch (draw.Between(0, 8)) {
     case 0: {
       const Fault fault(world.m_log, "refuse", FaultPlace::kEngine, engine);
       faults.m_refuse = true;
@@ -247,8 +247,10 @@
       draw.SleepBetween(200, 2'000);
       break;
     }
-    case 1: {
-      const Fault fault(world.m_log, "cut-streams", FaultPlace::kEngine,
+    case 1:
+    case 7:
+    case 8: {
+      const Fault fault(world.m_log, "cut-answers", FaultPlace::kEngine,
                         engine);
       faults.m_break_after = static_cast<int>(draw.Between(0, kSoakEvents - 1));
       faults.m_breaks_left = static_cast<int>(draw.Between(1, 10));
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -30,7 +30,7 @@
                          : static_cast<uint64_t>(arguments.m_seed + i);
     options.m_vms = arguments.m_vms;
     options.m_engines = arguments.m_engines;
-    options.m_online_callers = 3 * arguments.m_vms;
+    options.m_online_callers = 12 + 3 * arguments.m_vms;
     options.m_length = Millis(arguments.m_seconds * int64_t{1'000});
     options.m_prints = arguments.m_count == 1;
     const SoakReport report = RunSoak(options);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -21,7 +21,7 @@
 
 // Sequences of VM faults and of engine faults that run side by side.
 constexpr size_t kVmStreams = 2;
-constexpr size_t kEngineStreams = 1;
+constexpr size_t kEngineStreams = 2;
 
 // Seeds that one soak derives from its own.
 constexpr uint64_t kSeedsPerSoak = 10;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -21,7 +21,7 @@
   uint64_t m_seed = 1;
   int m_vms = 4;
   int m_engines = 4;
-  int m_online_callers = 12;
+  int m_online_callers = 24;
   int m_job_callers = 3;
   Millis m_length{12'000};  // of the faults; checks follow
   bool m_prints = false;
