Let the fault proxy pass on nothing behind swallowed bytes

Two fault sequences struck the same engine: the end of one switched off the silence of the other while its connections were open, and the proxy passed on what came behind the bytes that it had swallowed, which no network does.

Change: a direction in which bytes were swallowed stays silent; an engine is struck by one fault at a time, as a VM is.

--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -148,6 +148,8 @@
   }
   connection.m_server = *server;
   int64_t answered = 0;
+  // By direction. A byte stream can't go on behind a gap.
+  std::array<bool, 2> has_gap = {false, false};
   std::array<char, kBlockBytes> block;
   while (true) {
     std::array<pollfd, 2> fds = {pollfd{connection.m_client, POLLIN, 0},
@@ -165,7 +167,9 @@
       SleepFor(faults.m_delay);
       const bool forward = side == 0;
       std::string_view bytes(block.data(), static_cast<size_t>(got));
-      if (forward ? faults.m_drop_forward : faults.m_drop_backward) {
+      has_gap[side] = has_gap[side] || (forward ? faults.m_drop_forward
+                                                : faults.m_drop_backward);
+      if (has_gap[side]) {
         continue;
       }
       if (!forward && faults.m_cut_after_bytes > 0) {
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -21,7 +21,8 @@
   Millis m_delay;
   // New connections are closed at once.
   bool m_refuse = false;
-  // Bytes towards the server, or back, are swallowed; connections stay open.
+  // Bytes towards the server, or back, are swallowed; connections stay open,
+  // and pass on nothing more in that direction.
   bool m_drop_forward = false;
   bool m_drop_backward = false;
   // Each connection is cut after so many bytes of answer; 0: never.
--- a/tests/soak/fault_stream.cc
+++ b/tests/soak/fault_stream.cc
@@ -165,7 +165,7 @@
 void KillAllVms(SoakWorld& world) {
   std::vector<int> claimed;
   for (int vm = 0; vm < world.m_options.m_vms; ++vm) {
-    if (world.ClaimVm(vm)) {
+    if (world.Claim(FaultPlace::kVm, vm)) {
       claimed.push_back(vm);
     }
   }
@@ -183,7 +183,7 @@
     while (!world.m_cluster.IsReady(Index(vm)) && MonotonicNow() < until) {
       SleepFor(Millis(20));
     }
-    world.ReleaseVm(vm);
+    world.Release(FaultPlace::kVm, vm);
   }
 }
 
@@ -307,9 +307,9 @@
   while (MonotonicNow() < until) {
     draw.SleepBetween(kShortestPauseMs, kLongestPauseMs);
     const int vm = static_cast<int>(draw.Between(0, world.m_options.m_vms - 1));
-    if (world.ClaimVm(vm)) {
+    if (world.Claim(FaultPlace::kVm, vm)) {
       StrikeVm(world, vm, draw);
-      world.ReleaseVm(vm);
+      world.Release(FaultPlace::kVm, vm);
     }
   }
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <absl/synchronization/mutex.h>
@@ -41,20 +42,19 @@
   // Callers start nothing new once it is set.
   std::atomic<bool> m_stopping = false;
 
-  // VMs under a fault of their own process. A VM is claimed by one fault at a
-  // time.
-  bool ClaimVm(int vm) {
+  // A VM or engine is claimed by one fault at a time.
+  bool Claim(FaultPlace place, int target) {
     absl::MutexLock lock(&m_mutex);
-    return m_claimed.insert(vm).second;
+    return m_claimed.emplace(place, target).second;
   }
-  void ReleaseVm(int vm) {
+  void Release(FaultPlace place, int target) {
     absl::MutexLock lock(&m_mutex);
-    m_claimed.erase(vm);
+    m_claimed.erase({place, target});
   }
 
  private:
   absl::Mutex m_mutex;
-  std::set<int> m_claimed ABSL_GUARDED_BY(m_mutex);
+  std::set<std::pair<FaultPlace, int>> m_claimed ABSL_GUARDED_BY(m_mutex);
 
  public:
   SoakWorld(const SoakOptions& options, SoakLog& log, GatewayCluster& cluster)
