Tell callers of a starting VM to come back when it can have tokens

Ruled out: the limits themselves; the VMs admit the same number.

Change: the advice is the time until a starting VM usually has its right, and then that for the callers who were told before, at most 1.5 s.

--- a/packages/quota/quota_keeper.cc
+++ b/packages/quota/quota_keeper.cc
@@ -25,8 +25,8 @@
 // store nor most others.
 constexpr Millis kSettleTime{1'500};
 
-// Advice to a caller whose request meets a VM that has just started.
-constexpr Millis kRetryWhenSettled{300};
+// How long that usually takes where the others must first count the VM.
+constexpr Millis kUsualSettleTime{1'000};
 
 // How long it takes until another VM's tokens arrive.
 constexpr Millis kGrantTime{35};
@@ -161,6 +161,20 @@
          Millis(static_cast<int64_t>(missing * 1000 / share.m_rate_per_s));
 }
 
+Millis QuotaKeeper::NextChance(const Account& account, Millis now) const {
+  if (!IsSettling(now)) {
+    return RetryAfterRefusal(Share(account, now), account.m_bucket.m_tokens,
+                             account.m_promised);
+  }
+  // The callers that come back find no tokens but those earned from then on.
+  const Millis settled_in =
+      std::max(m_created + kUsualSettleTime - now, Millis());
+  const TokenShare share = ShareOf(account.m_rate_per_s, account.m_burst,
+                                   m_cluster.CountMembers(now), true);
+  return std::min(settled_in + RetryAfterRefusal(share, 0, account.m_promised),
+                  kLongestTokenRetry);
+}
+
 Status QuotaKeeper::Refuse(std::string_view request_id,
                            Account& account,
                            uint32_t id,
@@ -170,11 +184,7 @@
   error.m_message =
       Concat("workspace ", account.m_name, " is over its rate of ",
              account.m_rate_per_s, " per second");
-  error.m_retry_after =
-      IsSettling(now)
-          ? kRetryWhenSettled
-          : RetryAfterRefusal(Share(account, now), account.m_bucket.m_tokens,
-                              account.m_promised);
+  error.m_retry_after = NextChance(account, now);
   account.m_promised += 1;
   Log(Severity::kInfo, LogPart::kLimits, "No rate token.",
       {{"request", request_id},
--- a/packages/quota/quota_keeper.h
+++ b/packages/quota/quota_keeper.h
@@ -113,6 +113,8 @@
       Millis now) const;
   // Tokens that the other VMs told of.
   double TokensElsewhere(uint32_t workspace, Millis now) const;
+  // After what time a refused caller is best back.
+  Millis NextChance(const Account& account, Millis now) const;
   // When a token is likely to be there.
   Millis NextToken(const Account& account, uint32_t id, Millis now) const;
   Status Refuse(std::string_view request_id,
--- a/packages/quota/token_sharing.cc
+++ b/packages/quota/token_sharing.cc
@@ -20,10 +20,8 @@
 // What is left of an expectation after one news without demand.
 constexpr double kDemandDecay = 0.7;
 
-// Bounds of the advice to come back. Callers honour up to a third of the time
-// that they have left, which is about five seconds.
+// The shortest advice to come back.
 constexpr Millis kShortestRetry{150};
-constexpr Millis kLongestRetry{1'500};
 
 }  // namespace
 
@@ -111,11 +109,11 @@
                          double tokens,
                          double promised) {
   if (share.m_rate_per_s <= 0) {
-    return kLongestRetry;
+    return kLongestTokenRetry;
   }
   const double seconds = (promised + 1 - tokens) / share.m_rate_per_s;
   return std::clamp(Millis(static_cast<int64_t>(seconds * 1000)),
-                    kShortestRetry, kLongestRetry);
+                    kShortestRetry, kLongestTokenRetry);
 }
 
 bool IsEntitled(bool lease_held, int heard, int members) {
--- a/packages/quota/token_sharing.h
+++ b/packages/quota/token_sharing.h
@@ -17,6 +17,10 @@
 
 namespace bronzecross {
 
+// The longest advice to come back. Callers honour up to a third of the time
+// that they have left, which is about five seconds.
+inline constexpr Millis kLongestTokenRetry{1'500};
+
 // What one VM may hold and earn.
 struct TokenShare {
   double m_rate_per_s = 0;
