Wait for a started VM in one place of the soak

Cause: the loop that waits until a VM is ready stood twice in the fault sequences, and the constructor of SoakWorld behind its private members.

Change: one WaitReady(), the constructor first.

--- a/tests/soak/fault_stream.cc
+++ b/tests/soak/fault_stream.cc
@@ -62,15 +62,20 @@
   }
 }
 
-void StartAgain(SoakWorld& world, int vm) {
-  world.m_cluster.StartVm(Index(vm));
+// Waits for a VM that was started. While the store refuses everything it can't
+// become ready, which is no violation.
+void WaitReady(SoakWorld& world, int vm) {
   const Millis until = MonotonicNow() + kReadyLimit;
-  // While the store refuses everything a VM can't become ready.
   while (!world.m_cluster.IsReady(Index(vm)) && MonotonicNow() < until) {
     SleepFor(Millis(20));
   }
 }
 
+void StartAgain(SoakWorld& world, int vm) {
+  world.m_cluster.StartVm(Index(vm));
+  WaitReady(world, vm);
+}
+
 void KillVm(SoakWorld& world, int vm, Draw& draw) {
   const Fault fault(world.m_log, "kill", FaultPlace::kVm, vm);
   CheckRuns(world, vm);
@@ -179,10 +184,7 @@
     world.m_cluster.StartVm(Index(vm));
   }
   for (const int vm : claimed) {
-    const Millis until = MonotonicNow() + kReadyLimit;
-    while (!world.m_cluster.IsReady(Index(vm)) && MonotonicNow() < until) {
-      SleepFor(Millis(20));
-    }
+    WaitReady(world, vm);
     world.Release(FaultPlace::kVm, vm);
   }
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -35,6 +35,9 @@
 inline constexpr int kSoakEvents = 12;
 
 struct SoakWorld {
+  SoakWorld(const SoakOptions& options, SoakLog& log, GatewayCluster& cluster)
+      : m_options(options), m_log(log), m_cluster(cluster) {}
+
   const SoakOptions& m_options;
   SoakLog& m_log;
   GatewayCluster& m_cluster;
@@ -55,10 +58,6 @@
  private:
   absl::Mutex m_mutex;
   std::set<std::pair<FaultPlace, int>> m_claimed ABSL_GUARDED_BY(m_mutex);
-
- public:
-  SoakWorld(const SoakOptions& options, SoakLog& log, GatewayCluster& cluster)
-      : m_options(options), m_log(log), m_cluster(cluster) {}
 };
 
 }  // namespace bronzecross
