Count the time in which a lapsed upstream may come back from the end of the outage

Cause: after an outage of the store of 1.8 s or more, the removal of an upstream's entry was postponed by 2.2 s from its own arrival, if it arrived within 2.2 s after the outage. So one that left normally 1 s after the outage got requests for 2.2 s more. Whether there was an outage was judged by the time from a failed call to the next success, so that a single failed call before seconds without any, as on VMs of large fleets with their long leases, counted as one, too.

Change: the decision is kv/store_outage, free functions over a plain struct. An outage lasts from its first to its last failed call, and a removal counts once 2.2 s have passed since the end of the outage.

--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -7,13 +7,6 @@
 #include "platform/upstream_entry.h"
 
 namespace bronzecross {
-namespace {
-
-// An upstream that is still running registers again within two seconds after
-// the store is reachable again, if its entry expired during the outage.
-constexpr Millis kReregistrationWindow{2'200};
-
-}  // namespace
 
 const std::vector<UpstreamPtr>& UpstreamTable::OfService(
     std::string_view service) const {
@@ -100,9 +93,13 @@
   if (m_by_id.find(name) == m_by_id.end()) {
     return;
   }
-  if (may_reregister &&
-      m_kv.LeasesMayHaveExpired(MonotonicNow(), kReregistrationWindow)) {
-    m_postponed.emplace(name, MonotonicNow() + kReregistrationWindow);
+  const Millis now = MonotonicNow();
+  const Millis due = may_reregister ? m_kv.RemovalTimeOf(now) : now;
+  if (due > now) {
+    m_postponed.emplace(name, due);
+    Log(Severity::kInfo, LogPart::kUpstreams,
+        "The end of an upstream is postponed, as it may register again.",
+        {{"upstream", id}, {"ms", due - now}});
     return;
   }
   m_postponed.erase(name);
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -27,10 +27,6 @@
 // the direct path once that works again.
 constexpr Millis kRelayedWatchWait{2'000};
 
-// Minimum length of an outage in which entries may expire. Upstreams renew
-// theirs about every second, and an entry expires after three missed renewals.
-constexpr Millis kLongOutage{1'800};
-
 // Maximum size of a reply. A page holds at most about 1 MB, in base64.
 constexpr size_t kMaxReplyBytes = 4 << 20;
 
@@ -155,29 +151,27 @@
 void KvSession::RecordOutcome(const Result<KvReply>& reply) {
   const Millis now = MonotonicNow();
   if (!reply || IsRefusal(*reply)) {
-    if (m_failing_since == Millis()) {
-      m_failing_since = now;
+    const bool is_first = !m_outage.IsFailing();
+    RecordFailure(m_outage, now);
+    if (is_first) {
       Log(Severity::kWarning, LogPart::kStore, "A store call failed.",
           {{"reason", reply ? Concat("status ", reply->m_status)
                             : reply.error().m_message}});
     }
     return;
   }
-  if (m_failing_since == Millis()) {
+  if (!m_outage.IsFailing()) {
     return;
   }
   Log(Severity::kInfo, LogPart::kStore, "The store is reachable again.",
-      {{"failed_for_ms", now - m_failing_since},
+      {{"failed_for_ms", now - m_outage.m_first_failure},
        {"direct", ReachesDirectly() ? "yes" : "no"}});
-  if (now - m_failing_since >= kLongOutage) {
-    m_long_outage_end = now;
-  }
-  m_failing_since = Millis();
+  RecordSuccess(m_outage, now);
   m_recovered.NotifyAll();
 }
 
 bool KvSession::IsUnreachable() const {
-  return m_failing_since != Millis() && IsFailing(m_direct) &&
+  return m_outage.IsFailing() && IsFailing(m_direct) &&
          (m_relay == nullptr || !m_relay->CanRelay());
 }
 
@@ -198,13 +192,6 @@
   }
 }
 
-bool KvSession::LeasesMayHaveExpired(Millis now, Millis span) const {
-  const bool is_in_long_outage =
-      m_failing_since != Millis() && now - m_failing_since >= kLongOutage;
-  return is_in_long_outage ||
-         (m_long_outage_end != Millis() && now - m_long_outage_end < span);
-}
-
 Task<Result<KvItem>> KvSession::Get(std::string key) {
   const Result<KvReply> reply =
       co_await Call(platform::EncodeGet(key), kCallTimeout, CallKind::kShort);
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -8,6 +8,7 @@
 #include "base/error.h"
 #include "http1/connection_pool.h"
 #include "kv/kv_types.h"
+#include "kv/store_outage.h"
 #include "kv/store_path.h"
 
 namespace bronzecross {
@@ -66,9 +67,8 @@
   // retry in step, and then until the service is reachable again, up to a
   // limit.
   Task<> PauseAfterFailure();
-  // Whether entries that other processes renew may have expired because of an
-  // outage that still lasts, or that ended less than `span` before `now`.
-  bool LeasesMayHaveExpired(Millis now, Millis span) const;
+  // When the removal of an entry that became known at `now` counts.
+  Millis RemovalTimeOf(Millis now) const { return RemovalTime(m_outage, now); }
 
  private:
   enum class CallKind { kShort, kWatch, kProbe };
@@ -84,13 +84,9 @@
   StoreRelay* m_relay = nullptr;
   StorePathState m_direct;
   Condition m_direct_changed;
-  // Start of the current outage, in which calls fail on every path. Zero if the
-  // last call succeeded.
-  Millis m_failing_since;
+  // Counts calls that failed on every path.
+  StoreOutage m_outage;
   Condition m_recovered;
-  // End of the last outage that was long enough for entries to expire. Zero if
-  // there was none.
-  Millis m_long_outage_end;
 };
 
 }  // namespace bronzecross
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -361,6 +361,31 @@
                 kSpreadTimeout));
 }
 
+TEST_CASE("an upstream that leaves after a long outage is left in time") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformStoreFaults faults;
+  faults.m_refuse = true;
+  cluster.Store().SetFaults(faults);
+  SleepFor(Millis(3'500));
+  cluster.Store().SetFaults({});
+  CHECK(WaitFor(
+      [&] {
+        return cluster.LogOf(0).find("reachable again") != std::string::npos &&
+               cluster.LogOf(1).find("reachable again") != std::string::npos;
+      },
+      kSpreadTimeout));
+  SleepFor(Millis(900));
+  cluster.Engine(0).Unregister();
+  SleepFor(Millis(1'800));
+  const size_t before = cluster.Engine(0).Runs().size();
+  for (int i = 0; i < 12; ++i) {
+    GatewayRequest request = MakeRequest("/once/x", Concat("r", i));
+    request.m_vm = i % 2;
+    CHECK(cluster.Call(request).m_status == 200);
+  }
+  CHECK(cluster.Engine(0).Runs().size() == before);
+}
+
 // Guards against work sent to an upstream that left after the store was away
 // for a moment: only a long absence lets entries lapse, and only then may a
 // missing one come back.
