Check the store's watches, and take no watch without events as proof of none

Cause: a watch can stay open and tell nothing. A VM noticed that only by the gossip of a VM that had seen a later change, so if the watches of all VMs were silent, nobody did, until the watches ended 18.5 s later. And an ended watch without events moved the VM on to the store's current revision: the missed change was then skipped for good, gossip of it included. A single VM that the store rejects could lose a change in the same way, as its relayed watches end every 2 s. The daemon reads the store once a second beside its watch; the gateway didn't.

Change: only events and whole reads advance the known revision. One VM of the fleet, in large fleets one of each VM group and so each fleet watcher, asks for the changes of the configuration and of the upstreams every 0.9 s without waiting (RunChecks). Others learn of a find by the tree or by gossip, as before. A dropped history leads to a whole read. New metric bronzecross_changes_found_by_check_total and a log line tell of each find.

--- a/packages/cluster/watchers.cc
+++ b/packages/cluster/watchers.cc
@@ -41,6 +41,15 @@
   return watchers;
 }
 
+bool IsFirstWatcher(std::string_view self,
+                    std::span<const std::string_view> others) {
+  const uint64_t seed = Hash64(kWatcherHashSeed);
+  const std::pair<uint64_t, std::string_view> own = {Hash64(self, seed), self};
+  return std::all_of(others.begin(), others.end(), [&](std::string_view other) {
+    return own <= std::pair(Hash64(other, seed), other);
+  });
+}
+
 std::vector<std::string> FindFleetWatchers(
     std::span<const VmGroupMember> members) {
   const uint64_t seed = Hash64(kWatcherHashSeed);
--- a/packages/cluster/watchers.h
+++ b/packages/cluster/watchers.h
@@ -25,6 +25,11 @@
 std::vector<std::string> FindWatchers(std::string_view self,
                                       const VmGroup& group);
 
+// Whether `self` comes before all of `others` in the order by which watchers
+// are chosen.
+bool IsFirstWatcher(std::string_view self,
+                    std::span<const std::string_view> others);
+
 // Returns the VMs that watch on behalf of all groups, of different availability
 // zones where there are several. `members` are all VMs of the fleet.
 std::vector<std::string> FindFleetWatchers(
--- a/packages/cluster/watchers_test.cc
+++ b/packages/cluster/watchers_test.cc
@@ -82,6 +82,38 @@
   CHECK(FindFleetWatchers({}).empty());
 }
 
+TEST_CASE("every watch of a list is checked, at any size of the fleet") {
+  for (const int size : {1, 6, 16, 95}) {
+    Fleet fleet = MakeFleet(size);
+    std::set<std::string> checkers;
+    for (const VmGroupMember& member : fleet.m_members) {
+      const VmGroup group =
+          FindVmGroup(member.m_id, member.m_zone, fleet.m_members);
+      std::vector<std::string_view> others;
+      for (const VmGroupMember& other : fleet.m_members) {
+        if (other.m_id != member.m_id && group.Contains(other.m_id)) {
+          others.push_back(other.m_id);
+        }
+      }
+      if (IsFirstWatcher(member.m_id, others)) {
+        checkers.emplace(member.m_id);
+        // Only a watcher has a watch to check.
+        const std::vector<std::string> watchers =
+            FindWatchers(member.m_id, group);
+        CHECK((watchers.empty() || watchers[0] == member.m_id));
+      }
+    }
+    CHECK(!checkers.empty());
+    if (size <= 16) {
+      CHECK(checkers.size() == 1);
+      continue;
+    }
+    for (const std::string& watcher : FindFleetWatchers(fleet.m_members)) {
+      CHECK(checkers.contains(watcher));
+    }
+  }
+}
+
 TEST_CASE("the loss of a watcher doesn't replace the other one") {
   Fleet fleet = MakeFleet(40);
   const VmGroup group = FindVmGroup("vm-11", "b", fleet.m_members);
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -404,6 +404,9 @@
   Spawn(m_operator_follower.Run());
   Spawn(m_upstream_follower.Run());
   Spawn(m_vm_follower.Run());
+  // Other VMs learn of missed changes of these two lists by gossip.
+  Spawn(m_operator_follower.RunChecks());
+  Spawn(m_upstream_follower.RunChecks());
   Spawn(m_node.m_registration.Run());
   Spawn(m_gossip.Run());
   Spawn(m_jobs.Scheduler().Run());
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -190,6 +190,18 @@
   return Contains(FindWatchers(self, m_cluster.OwnGroup()), self);
 }
 
+bool PeerCalls::IsChecker() const {
+  const Millis now = MonotonicNow();
+  std::vector<std::string_view> others;
+  m_cluster.ForEachGroupPeer([&](std::string_view id, const PeerVm& peer) {
+    if (IsRecentlySeen(peer, now, kMaxGossipAge) &&
+        peer.m_gossip.m_reaches_store) {
+      others.push_back(id);
+    }
+  });
+  return IsFirstWatcher(m_cluster.Self().m_id, others);
+}
+
 Task<Result<KvChanges>> PeerCalls::WaitForChanges(std::string prefix,
                                                   WatchLevels levels,
                                                   int64_t after,
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -78,6 +78,7 @@
 
   bool HasWatcher(WatchLevels levels) const override;
   bool IsGroupWatcher() const override;
+  bool IsChecker() const override;
   Task<Result<KvChanges>> WaitForChanges(std::string prefix,
                                          WatchLevels levels,
                                          int64_t after,
--- a/packages/kv/kv_session.cc
+++ b/packages/kv/kv_session.cc
@@ -246,6 +246,17 @@
   co_return platform::DecodeWatch(*reply);
 }
 
+Task<Result<KvEvents>> KvSession::ReadEvents(std::string prefix,
+                                             int64_t after) {
+  const Result<KvReply> reply =
+      co_await Call(platform::EncodeWatch(prefix, after, Millis()),
+                    kCallTimeout, CallKind::kShort);
+  if (!reply) {
+    co_return tl::unexpected<Error>(reply.error());
+  }
+  co_return platform::DecodeWatch(*reply);
+}
+
 Task<Result<KvOutcome>> KvSession::Transact(KvTransaction transaction) {
   const Result<KvReply> reply = co_await Call(
       platform::EncodeTransaction(transaction), kCallTimeout, CallKind::kShort);
--- a/packages/kv/kv_session.h
+++ b/packages/kv/kv_session.h
@@ -43,6 +43,9 @@
   // Returns as soon as there is an event after the revision `after`, or without
   // events once `wait` has passed.
   Task<Result<KvEvents>> Watch(std::string prefix, int64_t after, Millis wait);
+  // Returns the events after the revision `after` without waiting for any.
+  // Fails with kHistoryGone if the service no longer knows all of them.
+  Task<Result<KvEvents>> ReadEvents(std::string prefix, int64_t after);
   // How long a watch should wait; see MaxWatchWait().
   Millis WatchWait() const { return m_watch_wait; }
   Task<Result<KvOutcome>> Transact(KvTransaction transaction);
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -5,6 +5,7 @@
 
 #include "aio/wait.h"
 #include "base/log.h"
+#include "base/metrics.h"
 
 namespace bronzecross {
 namespace {
@@ -17,6 +18,11 @@
 // detected earlier, by the end of the connection or by keep-alive probes.
 constexpr Millis kSourceWait{10'000};
 
+// Interval between the checks of a watch. Together with the time until the
+// other VMs compare revisions, it is below the time in which a configuration
+// must be in force.
+constexpr Millis kCheckInterval{900};
+
 // Maximum number of changes kept for other VMs. A VM that is behind by more
 // gets all items.
 constexpr size_t kMaxEvents = 256;
@@ -42,8 +48,7 @@
   m_changed.NotifyAll();
 }
 
-void PrefixFollower::OnEvents(std::span<const KvEvent> events,
-                              int64_t known_up_to) {
+void PrefixFollower::OnEvents(std::span<const KvEvent> events) {
   const int64_t before = m_log.KnownUpTo();
   for (const KvEvent& event : events) {
     // A snapshot that was read while the watch was open may include this event.
@@ -54,7 +59,6 @@
     m_log.Add(event);
     m_handlers.m_on_event(event);
   }
-  m_log.AdvanceTo(known_up_to);
   if (!events.empty()) {
     m_changed.NotifyAll();
   }
@@ -87,7 +91,7 @@
     co_await m_session.PauseAfterFailure();
     co_return true;
   }
-  OnEvents(events->m_events, events->m_store_revision);
+  OnEvents(events->m_events);
   if (!events->m_events.empty()) {
     co_await Sleep(m_coalescing_delay);
   }
@@ -114,7 +118,8 @@
     OnSnapshot(items, changes->m_known_up_to);
     co_return;
   }
-  OnEvents(changes->m_events, changes->m_known_up_to);
+  OnEvents(changes->m_events);
+  m_log.AdvanceTo(changes->m_known_up_to);
 }
 
 Task<> PrefixFollower::Follow() {
@@ -150,6 +155,40 @@
   m_missed_revision = 0;
 }
 
+Task<> PrefixFollower::Check() {
+  const int64_t before = m_log.KnownUpTo();
+  const Result<KvEvents> events =
+      co_await m_session.ReadEvents(m_prefix, before);
+  if (!events) {
+    if (events.error().m_code == ResultCode::kHistoryGone && !m_reading_again &&
+        m_log.KnownUpTo() == before) {
+      co_await ReadAgain();
+    }
+    co_return;
+  }
+  const int64_t known = m_log.KnownUpTo();
+  OnEvents(events->m_events);
+  if (m_log.KnownUpTo() > known) {
+    CountMetric("bronzecross_changes_found_by_check_total",
+                {{"prefix", m_prefix}});
+    Log(Severity::kInfo, LogPart::kStore,
+        "A check found a change before the watch told of it.",
+        {{"prefix", m_prefix},
+         {"known_up_to", known},
+         {"change", m_log.KnownUpTo()}});
+  }
+}
+
+Task<> PrefixFollower::RunChecks() {
+  for (;;) {
+    co_await Sleep(kCheckInterval);
+    if (m_is_loaded && m_watches_service && m_session.ReachesDirectly() &&
+        (m_source == nullptr || m_source->IsChecker())) {
+      co_await Check();
+    }
+  }
+}
+
 void PrefixFollower::OnPeerChange(int64_t revision, Millis now) {
   if (!m_is_loaded || revision <= m_log.KnownUpTo()) {
     return;
--- a/packages/kv/prefix_follower.h
+++ b/packages/kv/prefix_follower.h
@@ -38,6 +38,9 @@
   virtual bool HasWatcher(WatchLevels levels) const = 0;
   // Whether this VM passes on changes that it gets from another VM.
   virtual bool IsGroupWatcher() const = 0;
+  // Whether this VM checks its watches on behalf of the VMs that learn of
+  // changes from it or compare revisions with it.
+  virtual bool IsChecker() const = 0;
   // Returns as soon as there is a change after the revision `after`, or without
   // changes once `wait` has passed. Fails with kPeerUnavailable if the other VM
   // is unreachable or isn't a watcher; no request is sent to it for a while
@@ -50,7 +53,8 @@
 
 // A watch may stay open without delivering its events. VMs therefore report the
 // revision of their last change to each other, and one that doesn't receive a
-// later change in time reads all keys again.
+// later change in time reads all keys again. As the watches of all VMs may be
+// affected, checkers also ask the service for changes at short intervals.
 class PrefixFollower {
  public:
   // `session` must outlive this object, and this object must outlive the
@@ -68,6 +72,9 @@
 
   // Runs until the process ends.
   Task<> Run();
+  // Asks for changes at short intervals while this VM is a checker. Runs until
+  // the process ends.
+  Task<> RunChecks();
 
   // Sets the pause after events. Changes that arrive during the pause are read
   // with one call.
@@ -99,7 +106,8 @@
   Task<> FollowSource();
   Task<> ReadAgain();
   void OnSnapshot(std::span<const KvItem> items, int64_t known_up_to);
-  void OnEvents(std::span<const KvEvent> events, int64_t known_up_to);
+  void OnEvents(std::span<const KvEvent> events);
+  Task<> Check();
   // Returns m_levels, or kFleetAndGroups while the service rejects this VM.
   WatchLevels Levels() const;
   bool CanShare(bool only_if_watching) const;
@@ -111,7 +119,8 @@
   WatchLevels m_levels = WatchLevels::kGroups;
   int64_t m_last_change = 0;
   // Includes every change up to its KnownUpTo(). The handlers have received the
-  // same changes.
+  // same changes. A watch without events doesn't advance it, since it may have
+  // missed some.
   ChangeLog m_log;
   Condition m_changed;
   bool m_is_loaded = false;
--- a/standins/platform_store_standin.cc
+++ b/standins/platform_store_standin.cc
@@ -196,7 +196,7 @@
   bool is_deaf = false;
   {
     absl::MutexLock lock(&m_mutex);
-    is_deaf = m_faults.m_deaf_watches > 0;
+    is_deaf = m_faults.m_deaf_watches > 0 && until > MonotonicNow();
     m_faults.m_deaf_watches -= is_deaf ? 1 : 0;
   }
   for (;;) {
--- a/standins/platform_store_standin.h
+++ b/standins/platform_store_standin.h
@@ -23,7 +23,7 @@
   bool m_refuse = false;  // every call is answered 503 and does nothing
   // Writes that take effect but whose reply is lost, from now on.
   int m_lose_replies = 0;
-  // Watches that start from now on and never tell of an event.
+  // Watches that start from now on, wait and never tell of an event.
   int m_deaf_watches = 0;
 };
 
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -110,7 +110,8 @@
        << "peers = \"" << m_ip << ":" << vm.m_peers << "\"\n"
        << "bootstrap = \"" << m_ip << ":" << vm.m_bootstrap << "\"\n"
        << "metrics = \"" << m_ip << ":" << vm.m_metrics << "\"\n"
-       << "[store]\naddress = \"" << store.ToString() << "\"\n"
+       << "[store]\naddress = \"" << store.ToString()
+       << "\"\nhistory_ms = " << m_options.m_store_history.count() << "\n"
        << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
        << "\"]\n"
        << "[limits]\ndrain_limit_ms = 8000\n";
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -27,6 +27,8 @@
   double m_burst = 0;
   // Stands a proxy between each VM and the store.
   bool m_store_proxies = false;
+  // How long the VMs take the store to keep its history.
+  Millis m_store_history{20'000};
 };
 
 // A caller's request to one VM.
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -361,6 +361,56 @@
                 kSpreadTimeout));
 }
 
+TEST_CASE("a change that no watch tells of is still in force on all VMs") {
+  GatewayClusterOptions options;
+  options.m_store_proxies = true;
+  GatewayCluster cluster(options);
+  PlatformStoreFaults faults;
+  faults.m_deaf_watches = 6;
+  cluster.Store().SetFaults(faults);
+  cluster.StoreProxy(0).CutAll();
+  cluster.StoreProxy(1).CutAll();
+  SleepFor(Millis(1'000));
+  cluster.Operator().PublishKey(9, "key-new");
+  cluster.Engine(0).Register("draining");
+  for (int vm = 0; vm < 2; ++vm) {
+    GatewayRequest request = MakeRequest("/plain/x", Concat("r", vm));
+    request.m_vm = vm;
+    request.m_key = "key-new";
+    CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
+                  kSpreadTimeout));
+  }
+  const size_t before = cluster.Engine(0).Runs().size();
+  for (int i = 0; i < 12; ++i) {
+    GatewayRequest request = MakeRequest("/once/x", Concat("o", i));
+    request.m_vm = i % 2;
+    request.m_key = "key-new";
+    CHECK(cluster.Call(request).m_status == 200);
+  }
+  CHECK(cluster.Engine(0).Runs().size() == before);
+}
+
+TEST_CASE("a watch that ends without events hides no earlier change") {
+  GatewayClusterOptions options;
+  options.m_store_proxies = true;
+  options.m_store_history = Millis(2'500);  // watches last a second
+  GatewayCluster cluster(options);
+  PlatformStoreFaults faults;
+  faults.m_deaf_watches = 1'000;
+  cluster.Store().SetFaults(faults);
+  cluster.StoreProxy(0).CutAll();
+  cluster.StoreProxy(1).CutAll();
+  SleepFor(Millis(1'500));
+  cluster.Operator().PublishKey(9, "key-new");
+  for (int vm = 0; vm < 2; ++vm) {
+    GatewayRequest request = MakeRequest("/plain/x", Concat("r", vm));
+    request.m_vm = vm;
+    request.m_key = "key-new";
+    CHECK(WaitFor([&] { return cluster.Call(request).m_status == 200; },
+                  kSpreadTimeout));
+  }
+}
+
 TEST_CASE("an upstream that leaves after a long outage is left in time") {
   GatewayCluster cluster(GatewayClusterOptions{});
   PlatformStoreFaults faults;
