Tell a job's owner of an end that another VM confirmed

Cause: a VM that had been cut off still took itself for the owner of a job that another VM had taken over meanwhile. Asked to end the job, it found out by its failed write, wrote the end to the store and acknowledged it; the new owner learned of it only when its own next write failed, up to 3 s later. Besides, a second end that waited at the old owner was acknowledged as soon as the first had dropped the job, before the store held the end.

Change: a VM that acknowledges the end of a job of another owner tells that owner; a job that was dropped isn't taken for an ended one; dropping an old object of a job no longer removes a newer one from the table.

--- a/packages/gateway/job_calls.cc
+++ b/packages/gateway/job_calls.cc
@@ -24,6 +24,7 @@
 // the wait that the caller requested, counts as unreachable.
 constexpr Millis kForwardTimeout{700};
 
+constexpr int kOkStatus = 200;
 constexpr int kAccepted = 202;
 constexpr int kMisdirected = 421;
 
@@ -129,6 +130,26 @@
   co_return reply;
 }
 
+// Passes the end of a job that this VM wrote to the store on to the owner,
+// which would otherwise start items until its next write fails.
+Task<> TellOwnerOfEnd(Node& node,
+                      platform::JobCall call,
+                      std::string workspace) {
+  const std::string owner = node.m_jobs->OwnerOf(call.m_job);
+  if (owner.empty() || owner == node.m_cluster.Self().m_id) {
+    co_return;
+  }
+  const std::string job = call.m_job;
+  const Result<CallerReply> told =
+      co_await ForwardCall(node, owner, std::move(call), std::move(workspace),
+                           Millis(), MonotonicNow() + kForwardTimeout);
+  Log(Severity::kInfo, LogPart::kBatch, "Told the owner of a job of its end.",
+      {{"job", job},
+       {"owner", owner},
+       {"outcome",
+        told ? Concat("status ", told->m_status) : told.error().m_message}});
+}
+
 }  // namespace
 
 Task<CallerReply> ServeSubmission(Node& node, IncomingRequest& request) {
@@ -187,6 +208,10 @@
   }
   const CallerReply reply =
       co_await ExecuteCall(node, call, workspace, poll_wait, deadline);
+  if (call.m_kind == platform::JobCallKind::kCancel &&
+      reply.m_status == kOkStatus && !node.m_jobs->IsOwner(call.m_job)) {
+    Spawn(TellOwnerOfEnd(node, call, workspace));
+  }
   LogCall(request, CallName(call.m_kind), call.m_job, reply);
   co_return reply;
 }
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -341,8 +341,12 @@
   job.m_dropped = true;
   CancelRuns(job);
   job.m_changed.NotifyAll();
-  m_table.m_claims.Forget(job.m_spec.m_id);
-  m_table.m_jobs.erase(job.m_spec.m_id);
+  // The job may have been taken back meanwhile, as another object.
+  const auto found = m_table.m_jobs.find(job.m_spec.m_id);
+  if (found != m_table.m_jobs.end() && found->second.get() == &job) {
+    m_table.m_claims.Forget(job.m_spec.m_id);
+    m_table.m_jobs.erase(found);
+  }
 }
 
 void ItemScheduler::AbandonUnservableItems(Job& job) {
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -327,7 +327,9 @@
   m_scheduler.CancelRuns(*job);
   co_await WaitForCommit(job, deadline);
   if (!job->IsOpen()) {
-    co_return WriteOutcome::kApplied;
+    // A job that another VM took over meanwhile may be open there.
+    co_return job->m_dropped ? WriteOutcome::kSuperseded
+                             : WriteOutcome::kApplied;
   }
   if (job->m_is_committing) {
     co_return FailMayHaveRun(
@@ -350,10 +352,14 @@
   if (stored->m_state.m_workspace != workspace) {
     co_return FailJobNotFound();
   }
-  if (stored->m_state.m_phase != JobPhase::kOpen) {
-    co_return Status();
+  JobClaim claim{stored->m_state.m_owner, stored->m_state.m_owner_incarnation,
+                 stored->m_state.m_phase == JobPhase::kOpen, MonotonicNow()};
+  Status cancelled;
+  if (claim.m_open) {
+    cancelled = co_await m_store.CancelStored(id, *stored);
+    claim.m_open = !cancelled;
   }
-  const Status cancelled = co_await m_store.CancelStored(id, *stored);
+  m_table.m_claims.Record(id, std::move(claim));
   co_return cancelled;
 }
 
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -182,6 +182,36 @@
   CHECK(cluster.Store().Count("bx/open/") == 0);
 }
 
+TEST_CASE("an end that another VM than the owner confirms stops the owner") {
+  GatewayClusterOptions options;
+  options.m_vms = 3;
+  options.m_engine.m_events = 200;
+  GatewayCluster cluster(options);
+  CHECK(cluster.Call(Submission("job1", 150, 0)).m_status == 202);
+  cluster.Vm(0).Signal(SIGSTOP);
+  CHECK(WaitFor(
+      [&] {
+        return cluster.LogOf(1).find("Took over a job") != std::string::npos ||
+               cluster.LogOf(2).find("Took over a job") != std::string::npos;
+      },
+      kJobTimeout));
+  GatewayRequest end;
+  end.m_method = "DELETE";
+  end.m_target = PlatformJobPath("job1");
+  end.m_body = "";
+  std::thread caller([&] { CHECK(cluster.Call(end).m_status == 200); });
+  SleepFor(Millis(300));
+  cluster.Vm(0).Signal(SIGCONT);
+  caller.join();
+  SleepFor(Millis(400));
+  const auto count_runs = [&] {
+    return cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size();
+  };
+  const size_t before = count_runs();
+  SleepFor(Millis(2'000));
+  CHECK(count_runs() == before);
+}
+
 TEST_CASE("bodies can be read until their item is listed") {
   GatewayClusterOptions options;
   options.m_engine.m_events = 100;
