Blame the prompt part that crashes upstreams, and refuse requests with it

Cause: the tracker of poison requests knows a request by its whole body, and no two of these are alike.

A response that breaks before its second event, from an upstream that accepts no connection afterwards, is a crash that counts against the shared parts of its request. Refusals are 502 and end the request at once, also one that waits for a slot. The gossip layout has a new version.

--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -81,6 +81,9 @@
   gossip.m_waiting_tokens = {{11, 12}};
   gossip.m_queues = {{13, 14}};
   gossip.m_jobs = {{"j1", true}, {"j2", false}};
+  gossip.m_part_crashes = {{15, Millis(16), {17, 18}}, {19, Millis(), {}}};
+  gossip.m_blamed_parts = {{20, Millis(21)}};
+  gossip.m_exonerated_parts = {{22, Millis(23)}, {24, Millis(25)}};
   const std::string bytes = EncodeGossip(gossip);
   const std::optional<GossipMessage> decoded = DecodeGossip(bytes);
   REQUIRE(decoded);
@@ -95,6 +98,14 @@
   CHECK(decoded->m_grants[0].m_seen_sequence == 8);
   CHECK(decoded->m_jobs[1].m_job == "j2");
   CHECK_FALSE(decoded->m_jobs[1].m_open);
+  REQUIRE(decoded->m_part_crashes.size() == 2);
+  CHECK(decoded->m_part_crashes[0].m_upstream == 15);
+  CHECK(decoded->m_part_crashes[0].m_age == Millis(16));
+  CHECK(decoded->m_part_crashes[0].m_parts == std::vector<uint32_t>{17, 18});
+  CHECK(decoded->m_part_crashes[1].m_parts.empty());
+  CHECK(decoded->m_blamed_parts[0].m_age == Millis(21));
+  REQUIRE(decoded->m_exonerated_parts.size() == 2);
+  CHECK(decoded->m_exonerated_parts[1].m_part == 24);
   for (size_t i = 0; i < bytes.size(); ++i) {
     DecodeGossip(std::string_view(bytes).substr(0, i));
     std::string corrupted = bytes;
--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -1,5 +1,6 @@
 #include "cluster/gossip_message.h"
 
+#include <algorithm>
 #include <cmath>
 #include <span>
 
@@ -14,7 +15,7 @@
 using nlohmann::json;
 
 // Version of the message layout. Messages of another version are rejected.
-constexpr int kLayoutVersion = 3;
+constexpr int kLayoutVersion = 4;
 
 // Positions in the message, which is a MessagePack array. Lists of rows are
 // flat arrays that hold the rows one after another.
@@ -36,6 +37,9 @@
   kPosQueues,
   kPosJobs,
   kPosRequestFailures,
+  kPosPartCrashes,
+  kPosBlamedParts,
+  kPosExoneratedParts,
   kPosCount,
 };
 
@@ -78,6 +82,57 @@
   return gossip;
 }
 
+namespace {
+
+json EncodeParts(std::span<const PartReport> parts) {
+  json rows = json::array();
+  for (const PartReport& part : parts) {
+    rows.insert(rows.end(), {json(part.m_part), json(part.m_age.count())});
+  }
+  return rows;
+}
+
+// Ages beyond every retention time are cut, so that the time that follows from
+// them doesn't overflow.
+Millis DecodeAge(int64_t ms) {
+  constexpr int64_t kMaxAgeMs = 3'600'000;
+  return Millis(std::clamp<int64_t>(ms, 0, kMaxAgeMs));
+}
+
+std::vector<PartReport> DecodeParts(const Rows& rows) {
+  std::vector<PartReport> parts;
+  for (size_t i = 0; i < rows.Count(); ++i) {
+    parts.push_back(
+        {rows.At<uint32_t>(i, 0), DecodeAge(rows.At<int64_t>(i, 1))});
+  }
+  return parts;
+}
+
+// Returns std::nullopt if a row is invalid.
+std::optional<std::vector<PartCrashReport>> DecodeCrashes(const json& list) {
+  std::vector<PartCrashReport> crashes;
+  for (const json& row : list) {
+    const bool is_valid =
+        row.is_array() && row.size() >= 2 &&
+        row.size() <= 2 + kMaxReportedParts &&
+        std::all_of(row.begin(), row.end(), [](const json& value) {
+          return value.is_number_integer();
+        });
+    if (!is_valid) {
+      return std::nullopt;
+    }
+    PartCrashReport& crash = crashes.emplace_back();
+    crash.m_upstream = row[0].get<uint32_t>();
+    crash.m_age = DecodeAge(row[1].get<int64_t>());
+    for (size_t i = 2; i < row.size(); ++i) {
+      crash.m_parts.push_back(row[i].get<uint32_t>());
+    }
+  }
+  return crashes;
+}
+
+}  // namespace
+
 std::string EncodeGossip(const GossipMessage& gossip) {
   json uses = json::array();
   for (const UpstreamUse& use : gossip.m_uses) {
@@ -121,13 +176,34 @@
     request_failures.insert(request_failures.end(),
                             {json(entry.m_fingerprint), json(entry.m_count)});
   }
-  const json message = json::array(
-      {kLayoutVersion, gossip.m_sender.m_id, gossip.m_sender.m_incarnation,
-       gossip.m_sender.m_zone, gossip.m_sender.m_address.ToString(),
-       gossip.m_sequence, gossip.m_reaches_store, gossip.m_operator_change,
-       gossip.m_upstream_change, std::move(uses), std::move(levels),
-       std::move(grants), std::move(backlogs), std::move(waiting),
-       std::move(queues), std::move(jobs), std::move(request_failures)});
+  json crashes = json::array();
+  for (const PartCrashReport& crash : gossip.m_part_crashes) {
+    json row = {crash.m_upstream, crash.m_age.count()};
+    for (const uint32_t part : crash.m_parts) {
+      row.push_back(part);
+    }
+    crashes.push_back(std::move(row));
+  }
+  const json message = json::array({kLayoutVersion,
+                                    gossip.m_sender.m_id,
+                                    gossip.m_sender.m_incarnation,
+                                    gossip.m_sender.m_zone,
+                                    gossip.m_sender.m_address.ToString(),
+                                    gossip.m_sequence,
+                                    gossip.m_reaches_store,
+                                    gossip.m_operator_change,
+                                    gossip.m_upstream_change,
+                                    std::move(uses),
+                                    std::move(levels),
+                                    std::move(grants),
+                                    std::move(backlogs),
+                                    std::move(waiting),
+                                    std::move(queues),
+                                    std::move(jobs),
+                                    std::move(request_failures),
+                                    std::move(crashes),
+                                    EncodeParts(gossip.m_blamed_parts),
+                                    EncodeParts(gossip.m_exonerated_parts)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -160,9 +236,12 @@
   const Rows waiting(message[kPosWaitingTokens], 2);
   const Rows queues(message[kPosQueues], 2);
   const Rows request_failures(message[kPosRequestFailures], 2);
+  const Rows blamed(message[kPosBlamedParts], 2);
+  const Rows exonerated(message[kPosExoneratedParts], 2);
   if (!uses.IsValid() || !levels.IsValid() || !grants.IsValid() ||
       !backlogs.IsValid() || !waiting.IsValid() || !queues.IsValid() ||
-      !request_failures.IsValid()) {
+      !request_failures.IsValid() || !blamed.IsValid() ||
+      !exonerated.IsValid() || !message[kPosPartCrashes].is_array()) {
     return std::nullopt;
   }
   GossipMessage gossip;
@@ -205,6 +284,14 @@
     gossip.m_request_failures.push_back(
         {request_failures.At<uint32_t>(i, 0), request_failures.At<int>(i, 1)});
   }
+  gossip.m_blamed_parts = DecodeParts(blamed);
+  gossip.m_exonerated_parts = DecodeParts(exonerated);
+  std::optional<std::vector<PartCrashReport>> crashes =
+      DecodeCrashes(message[kPosPartCrashes]);
+  if (!crashes) {
+    return std::nullopt;
+  }
+  gossip.m_part_crashes = *std::move(crashes);
   const json& jobs = message[kPosJobs];
   for (size_t i = 0; i + 1 < jobs.size(); i += 2) {
     if (!jobs[i].is_string() || !jobs[i + 1].is_boolean()) {
--- a/packages/cluster/gossip_message.h
+++ b/packages/cluster/gossip_message.h
@@ -77,6 +77,23 @@
   int m_count = 0;
 };
 
+// Maximum number of parts in one report.
+inline constexpr size_t kMaxReportedParts = 6;
+
+// An upstream that crashed at the sender while it began to answer a request.
+struct PartCrashReport {
+  uint32_t m_upstream = 0;
+  Millis m_age;
+  // Hashes of the parts of the prompt, at most kMaxReportedParts.
+  std::vector<uint32_t> m_parts;
+};
+
+// A part of prompts and the age of what the sender says of it.
+struct PartReport {
+  uint32_t m_part = 0;
+  Millis m_age;
+};
+
 struct GossipMessage {
   VmRecord m_sender;
   uint64_t m_sequence = 0;  // increases with each message of an incarnation
@@ -92,6 +109,11 @@
   std::vector<OnlineQueue> m_queues;
   std::vector<JobAnnouncement> m_jobs;
   std::vector<RequestFailures> m_request_failures;
+  std::vector<PartCrashReport> m_part_crashes;
+  // Parts that crash upstreams, and the first crash that counts.
+  std::vector<PartReport> m_blamed_parts;
+  // Parts that another VM blames wrongly, and their last complete response.
+  std::vector<PartReport> m_exonerated_parts;
 };
 
 // Returns 32 bits of the hash of an id, which keep the message short.
--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -52,6 +52,11 @@
   m_send_soon_changed.NotifyAll();
 }
 
+void GossipExchange::SendToAllSoon() {
+  m_next_brief = Millis();
+  SendSoon();
+}
+
 GossipMessage GossipExchange::MakeGossip(Millis now) {
   GossipMessage message;
   message.m_sender = m_node.m_cluster.Self();
@@ -75,6 +80,7 @@
     m_node.m_quotas.AddToGossip(*m_node.m_config, message, now);
   }
   m_node.m_poison_requests.AddToGossip(message, now);
+  m_node.m_crashing_parts.AddToGossip(message, now);
   m_node.m_jobs->AddToGossip(message, now);
   return message;
 }
@@ -131,6 +137,7 @@
   m_node.m_upstream_follower->OnPeerChange(peer->m_gossip.m_upstream_change,
                                            now);
   m_node.m_jobs->OnGossip(peer->m_gossip, now);
+  m_node.m_crashing_parts.OnGossip(peer->m_gossip, now);
   if (!m_node.m_cluster.OwnGroup().Contains(peer->m_record.m_id)) {
     return;
   }
--- a/packages/gateway/gossip_exchange.h
+++ b/packages/gateway/gossip_exchange.h
@@ -23,6 +23,8 @@
   // Sends the next message as early as the minimum interval (20 ms) allows
   // instead of at the next regular time.
   void SendSoon();
+  // The same, and sends a brief message to the VMs of other groups, too.
+  void SendToAllSoon();
 
  private:
   void OnDatagram(std::string_view bytes);
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -11,6 +11,7 @@
 
 #include "cluster/cluster_view.h"
 #include "cluster/vm_registration.h"
+#include "dispatch/crashing_part_tracker.h"
 #include "dispatch/poison_request_tracker.h"
 #include "dispatch/slot_queue.h"
 #include "dispatch/upstream_table.h"
@@ -62,6 +63,7 @@
   UpstreamTable m_upstreams;
   QuotaManager m_quotas;
   PoisonRequestTracker m_poison_requests;
+  CrashingPartTracker m_crashing_parts;
   std::map<std::string, SlotQueue, std::less<>> m_queues;
 
   // Owned by Gateway, which sets them before any task runs.
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -6,6 +6,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "gateway/gossip_exchange.h"
 #include "http1/write_message.h"
 
 namespace bronzecross {
@@ -90,6 +91,30 @@
   size_t m_counted = 0;
 };
 
+// An upstream whose port still accepts connections within this time runs, so
+// that a broken response isn't its crash.
+constexpr Millis kCrashCheckTimeout{350};
+
+// A request that received more events before its response broke isn't the cause
+// of the crash.
+constexpr int kMaxEventsBeforeCrash = 1;
+
+static_assert(platform::kMaxSharedParts <= kMaxReportedParts);
+
+// Finds out whether an upstream that broke off a response has crashed, and
+// records that.
+Task<> RecordIfCrashed(Node& node,
+                       UpstreamPtr upstream,
+                       std::vector<uint32_t> parts) {
+  const Millis now = MonotonicNow();
+  const std::unique_ptr<TcpStream> stream = co_await TcpStream::Connect(
+      upstream->m_entry.m_address, now + kCrashCheckTimeout);
+  if (stream == nullptr) {
+    node.m_crashing_parts.OnCrash(upstream->m_hash, parts, now);
+    node.m_gossip->SendToAllSoon();
+  }
+}
+
 // Releases a slot at the end of its lifetime.
 class HeldSlot {
  public:
@@ -156,6 +181,9 @@
                      "while serving it",
                      Millis());
   }
+  if (HasCrashingPart()) {
+    co_return RejectCrashingPart();
+  }
   SlotQueue& queue = m_node.QueueOf(m_service);
   const QueueState state = queue.GetState();
   const Millis expected = ExpectedWait(state);
@@ -177,6 +205,10 @@
     if (upstream == nullptr) {
       co_return RejectWithoutSlot(queue);
     }
+    if (HasCrashingPart()) {
+      queue.Release(*upstream);
+      co_return RejectCrashingPart();
+    }
     const Millis started = MonotonicNow();
     AttemptResult end = AttemptResult::kFailed;
     {
@@ -231,6 +263,7 @@
     request.m_response_timeout = route.m_latency_target * kUnresponsiveFactor;
   }
   const Millis started = MonotonicNow();
+  m_attempt_events = 0;
   UpstreamCall call(upstream, m_cancellation);
   const CallState state = co_await call.Start(request);
   LogAttempt(*upstream, state,
@@ -247,7 +280,7 @@
     case CallState::kBroken:
     case CallState::kUnresponsive:
       ++m_runs;
-      RecordIfBroken(state);
+      RecordIfBroken(state, upstream);
       co_return MayRunAgain() ? AttemptResult::kTryAnother
                               : AttemptResult::kFailed;
     case CallState::kResponded:
@@ -262,9 +295,9 @@
                          call.Head().m_status == kOkStatus &&
                          m_request.WantedBody() == ResponseBody::kSent;
   if (is_stream) {
-    end = co_await RelayStream(call, *upstream);
+    end = co_await RelayStream(call, upstream);
   } else if (!m_stream_started) {
-    end = co_await RelayBuffered(call);
+    end = co_await RelayBuffered(call, upstream);
     if (end == AttemptResult::kDelivered) {
       RecordRequestTime(*upstream, MonotonicNow() - started);
     }
@@ -273,7 +306,8 @@
 }
 
 Task<OnlineRequest::AttemptResult> OnlineRequest::RelayBuffered(
-    UpstreamCall& call) {
+    UpstreamCall& call,
+    const UpstreamPtr& upstream) {
   std::string body;
   BufferedBytes buffered(m_node.m_buffered_bytes);
   while (!call.IsComplete()) {
@@ -286,7 +320,7 @@
       call.MarkBroken();
       state = CallState::kBroken;
     }
-    RecordIfBroken(state);
+    RecordIfBroken(state, upstream);
     if (state != CallState::kResponded) {
       co_return state == CallState::kBroken&& MayRunAgain()
           ? AttemptResult::kTryAnother
@@ -312,19 +346,40 @@
     head.Add("Connection", "close");
   }
   call.Finish();
+  if (status == kOkStatus) {
+    m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
+                                         MonotonicNow());
+  }
   m_caller.Queue(WriteResponseHead(head));
   m_caller.Queue(body);
   LogEnd("answered", status);
   co_return AttemptResult::kDelivered;
 }
 
-void OnlineRequest::RecordIfBroken(CallState state) {
-  if (state == CallState::kBroken) {
-    m_node.m_poison_requests.RecordBrokenResponse(m_fingerprint,
-                                                  MonotonicNow());
+void OnlineRequest::RecordIfBroken(CallState state,
+                                   const UpstreamPtr& upstream) {
+  if (state != CallState::kBroken) {
+    return;
+  }
+  m_node.m_poison_requests.RecordBrokenResponse(m_fingerprint, MonotonicNow());
+  if (!m_request.m_fields.m_shared_parts.empty() &&
+      m_attempt_events <= kMaxEventsBeforeCrash) {
+    Spawn(RecordIfCrashed(m_node, upstream, m_request.m_fields.m_shared_parts));
   }
 }
 
+bool OnlineRequest::HasCrashingPart() const {
+  return m_node.m_crashing_parts
+      .FindBlamedPart(m_request.m_fields.m_shared_parts)
+      .has_value();
+}
+
+ServeResult OnlineRequest::RejectCrashingPart() {
+  return Reject(ResultCode::kUpstreamFailed,
+                "a part of the prompt crashes the upstreams that answer it",
+                Millis());
+}
+
 void OnlineRequest::QueueStreamHead(const MessageHead& upstream_head) {
   if (m_stream_started) {
     return;
@@ -340,7 +395,7 @@
 
 Task<OnlineRequest::AttemptResult> OnlineRequest::RelayStream(
     UpstreamCall& call,
-    Upstream& upstream) {
+    const UpstreamPtr& upstream) {
   const Millis deadline = m_deadline + kDeadlineSlack;
   EventSplitter splitter;
   const int64_t resumed_after = m_last_event_id;
@@ -354,7 +409,7 @@
     if (state == CallState::kTimedOut) {
       co_return AttemptResult::kFailed;
     }
-    RecordIfBroken(state);
+    RecordIfBroken(state, upstream);
     if (state != CallState::kResponded) {
       // Another upstream resumes the stream after m_last_event_id. If no event
       // was relayed, it runs the request from its start.
@@ -376,7 +431,8 @@
       m_last_event_id = event.m_id;
       m_can_resume = event.m_id >= 0;
     }
-    RecordEvents(upstream, pace, events);
+    m_attempt_events += events;
+    RecordEvents(*upstream, pace, events);
     const bool complete = call.IsComplete();
     if (complete) {
       chunk += splitter.Rest();
@@ -393,7 +449,7 @@
     }
     if (splitter.Rest().size() > kMaxEventBytes) {
       call.MarkBroken();
-      RecordIfBroken(CallState::kBroken);
+      RecordIfBroken(CallState::kBroken, upstream);
       co_return MayRunAgain() ? AttemptResult::kTryAnother
                               : AttemptResult::kFailed;
     }
@@ -408,6 +464,8 @@
     }
   }
   call.Finish();
+  m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
+                                       MonotonicNow());
   LogEnd("answered", kOkStatus);
   co_return AttemptResult::kDelivered;
 }
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -39,14 +39,19 @@
 
   Task<AttemptResult> RunAttempt(UpstreamPtr upstream);
   // Reads the complete response before relaying it to the caller.
-  Task<AttemptResult> RelayBuffered(UpstreamCall& call);
+  Task<AttemptResult> RelayBuffered(UpstreamCall& call,
+                                    const UpstreamPtr& upstream);
   // Relays the response event by event.
-  Task<AttemptResult> RelayStream(UpstreamCall& call, Upstream& upstream);
+  Task<AttemptResult> RelayStream(UpstreamCall& call,
+                                  const UpstreamPtr& upstream);
   // Queues the head of a streamed response unless it was queued before.
   void QueueStreamHead(const MessageHead& upstream_head);
   // Records the request as a possible poison request if the upstream broke off
   // its response.
-  void RecordIfBroken(CallState state);
+  void RecordIfBroken(CallState state, const UpstreamPtr& upstream);
+  // Whether a part of the prompt is known to crash upstreams.
+  bool HasCrashingPart() const;
+  ServeResult RejectCrashingPart();
   // Returns whether the route, the number of runs so far and the time left
   // allow another attempt.
   bool MayRunAgain() const;
@@ -76,6 +81,7 @@
   // was relayed, or -1.
   bool m_stream_started = false;
   int64_t m_last_event_id = -1;
+  int m_attempt_events = 0;  // received in the current attempt
   // Whether another upstream can continue the stream: no event was relayed yet,
   // or the last one has an id.
   bool m_can_resume = true;
