Take a stream that ends inside an event with its connection for broken off

What callers saw: a stream without a length or chunks that was cut inside an event was passed on as complete, with the piece of the event (status 200, last chunk); an item of a batch job was listed as completed with the events so far.

Cause: the end of the connection completes such a response, and neither path looked whether an event was unfinished.

Change: if only the end of the connection marks the end of the body and an event has begun, the response counts as broken: the request goes on elsewhere where it may, or its connection is cut; the item resumes behind its last event.

--- a/packages/dispatch/event_splitter.h
+++ b/packages/dispatch/event_splitter.h
@@ -25,6 +25,10 @@
   std::string_view Rest() const {
     return std::string_view(m_buffer).substr(m_consumed);
   }
+  // Whether an event has begun that isn't complete.
+  bool IsInsideEvent() const {
+    return Rest().find_first_not_of("\r\n") != std::string_view::npos;
+  }
   // Discards all buffered bytes.
   void Clear();
 
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -205,6 +205,10 @@
   return m_connection->Parser().GetState() == ParseState::kComplete;
 }
 
+bool UpstreamCall::EndsWithConnection() const {
+  return !m_connection->Parser().IsFramed();
+}
+
 int64_t UpstreamCall::DeclaredLength() const {
   return m_connection->Parser().ContentLength();
 }
--- a/packages/dispatch/upstream_call.h
+++ b/packages/dispatch/upstream_call.h
@@ -59,6 +59,9 @@
   Task<CallState> ReadBody(std::string& body, Millis deadline, Condition* stop);
   // Returns true if the response is complete.
   bool IsComplete() const;
+  // Whether only the end of the connection marks the end of the body, so that a
+  // response that was broken off may count as complete.
+  bool EndsWithConnection() const;
   // Returns the body length declared in the response head; -1 if there is none.
   int64_t DeclaredLength() const;
   // Records a failure of the upstream: the body isn't a valid response.
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -433,7 +433,9 @@
     }
     m_attempt_events += events;
     RecordEvents(*upstream, pace, events);
-    const bool complete = call.IsComplete();
+    const bool is_cut = call.IsComplete() && call.EndsWithConnection() &&
+                        splitter.IsInsideEvent();
+    const bool complete = call.IsComplete() && !is_cut;
     if (complete) {
       chunk += splitter.Rest();
     }
@@ -447,7 +449,7 @@
       m_caller.Queue(kLastChunk);
       break;
     }
-    if (splitter.Rest().size() > kMaxEventBytes) {
+    if (is_cut || splitter.Rest().size() > kMaxEventBytes) {
       call.MarkBroken();
       RecordIfBroken(CallState::kBroken, upstream);
       co_return MayRunAgain() ? AttemptResult::kTryAnother
--- a/packages/jobs/item_run.cc
+++ b/packages/jobs/item_run.cc
@@ -154,6 +154,11 @@
       call.MarkBroken();
       co_return CallState::kBroken;
     }
+    if (call.IsComplete() && call.EndsWithConnection() &&
+        splitter.IsInsideEvent()) {
+      call.MarkBroken();
+      co_return CallState::kBroken;
+    }
     if (call.IsComplete()) {
       co_return CallState::kResponded;
     }
--- a/tests/integration/endless_bytes_test.cc
+++ b/tests/integration/endless_bytes_test.cc
@@ -4,12 +4,14 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <fstream>
 #include <thread>
 
 #include "base/text.h"
 #include "harness/cluster.h"
 #include "harness/gateway_cluster.h"
+#include "standins/platform_caller.h"
 #include "standins/raw_replica_standin.h"
 
 namespace bronzecross {
@@ -172,6 +174,43 @@
 
 // Guards against a stream that starts again from its beginning within one
 // response: without event ids nothing tells where to go on.
+TEST_CASE("a stream cut inside an event by the end of its connection fails") {
+  RawReplicaScript script;
+  script.m_begin = std::string(kHead) +
+                   "Content-Type: text/event-stream\r\n\r\n"
+                   "id: 1\ndata: a\n\nid: 2\nda";
+  script.m_closes = true;
+  GatewayClusterOptions options;
+  options.m_vms = 1;
+  options.m_engines = 1;
+  GatewayCluster cluster(options);
+  RawReplicaStandin raw(script);
+  cluster.Engine(0).SetListedAddress(raw.Address());
+  cluster.Engine(0).Register("ready");
+  CHECK(WaitFor([&] {
+    cluster.Call(MakeRequest("/stream/x", "first"));
+    return raw.Requests() > 0;
+  }));
+  CHECK(cluster.Call(MakeRequest("/stream/x", "r1")).m_status != 200);
+
+  // An item keeps its whole events and goes on elsewhere.
+  GatewayRequest job;
+  job.m_target = "/batch/jobs";
+  job.m_id = "job1";
+  job.m_body = PlatformJobBody("job1", 1);
+  const int before = raw.Requests();
+  CHECK(cluster.Call(job).m_status == 202);
+  CHECK(WaitFor([&] { return raw.Requests() > before; }));
+  cluster.Engine(0).SetListedAddress(NetAddress());
+  cluster.Engine(0).Register("ready");
+  const nlohmann::json page = cluster.WaitForResults(0, "job1", Millis(20'000));
+  REQUIRE(page.is_object());
+  REQUIRE(page["results"].size() == 1);
+  const std::string output = page["results"][0]["output"];
+  CHECK(output.starts_with("a\n"));
+  CHECK(std::count(output.begin(), output.end(), '\n') == 4);
+}
+
 TEST_CASE("a broken stream without event ids isn't started again") {
   RawReplicaScript script;
   script.m_begin = std::string(kHead) +
