Run an item again soon, however often upstreams broke under it

Cause: after three runs in a row without a new event an item counted as a suspected poison request and waited 10 s before each further run, in a calm fleet with free slots, too. Items never crash upstreams by themselves.

Change: the delay doubles from 0.15 s to 2 s and stays there (RetryDelay).

--- a/packages/jobs/item_run.cc
+++ b/packages/jobs/item_run.cc
@@ -27,16 +27,11 @@
 // and a result is encoded in base64.
 constexpr size_t kMaxOutputBytes = 640 << 10;
 
-// Delay before the next run after one that failed or was rejected. It doubles
-// with each consecutive run that breaks off without a new event.
+// Bounds of the delay before the next run after one that failed or was
+// rejected.
 constexpr Millis kInitialBackoff{150};
 constexpr Millis kMaxBackoff{2'000};
 
-// Consecutive runs without a new event after which an item counts as a
-// suspected poison request, and the delay before its next run.
-constexpr int kPoisonSuspectRuns = 3;
-constexpr Millis kPoisonSuspectBackoff{10'000};
-
 // Minimum wait budget that is sent to an upstream for one run.
 constexpr Millis kMinRunTime{1'000};
 
@@ -58,15 +53,8 @@
 // Delays the next run of an item after a run that broke off.
 void BackOff(ItemProgress& progress) {
   ++progress.m_runs_without_progress;
-  if (progress.m_runs_without_progress >= kPoisonSuspectRuns) {
-    progress.m_not_before = MonotonicNow() + kPoisonSuspectBackoff;
-    return;
-  }
   progress.m_not_before =
-      MonotonicNow() +
-      std::min(
-          kInitialBackoff * (int64_t{1} << progress.m_runs_without_progress),
-          kMaxBackoff);
+      MonotonicNow() + RetryDelay(progress.m_runs_without_progress);
 }
 
 void LogRun(const ItemRun& run, std::string_view outcome, int status) {
@@ -170,6 +158,11 @@
 
 }  // namespace
 
+Millis RetryDelay(int runs_without_progress) {
+  const int doublings = std::clamp(runs_without_progress, 0, 8);
+  return std::min(kInitialBackoff * (int64_t{1} << doublings), kMaxBackoff);
+}
+
 Task<> RunItem(ItemRun& run, ItemLimits limits) {
   Job& job = *run.m_job;
   const JobItem& item = job.m_spec.m_items[run.m_item];
--- a/packages/jobs/item_run.h
+++ b/packages/jobs/item_run.h
@@ -12,6 +12,11 @@
   int m_max_failures = 1;  // failed attempts before the item is abandoned
 };
 
+// Returns the delay before the next run of an item after consecutive runs that
+// broke off without a new event. It stays short, as items crash no upstreams by
+// themselves.
+Millis RetryDelay(int runs_without_progress);
+
 // Runs until the item is finished, has failed or is cancelled, and updates its
 // progress. The caller releases the slot.
 Task<> RunItem(ItemRun& run, ItemLimits limits);
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -4,6 +4,7 @@
 
 #include "jobs/batch_capacity.h"
 #include "jobs/item_order.h"
+#include "jobs/item_run.h"
 #include "jobs/job.h"
 #include "jobs/job_claims.h"
 #include "jobs/job_record.h"
@@ -264,6 +265,13 @@
   CHECK_FALSE(IsUrgent(MakeEstimate(-3'000, 100, 0)));
 }
 
+TEST_CASE("an item under which many upstreams crashed still runs again soon") {
+  for (int runs = 1; runs < 1'000; ++runs) {
+    CHECK(RetryDelay(runs) <= Millis(2'000));
+    CHECK(RetryDelay(runs) >= RetryDelay(runs - 1));
+  }
+}
+
 TEST_CASE("partial outputs of an earlier owner are restored") {
   const JobPtr job = MakeJob(MakeSpec(), BatchJobState(), 1,
                              {{"i1", JobResultState::kCompleted, "x"}});
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -243,6 +243,25 @@
   CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() == 2);
 }
 
+TEST_CASE("an item under which upstreams break again and again is still owed") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  PlatformReplicaFaults faults;
+  faults.m_break_after = 0;
+  cluster.Engine(0).SetFaults(faults);
+  cluster.Engine(1).SetFaults(faults);
+  CHECK(cluster.Call(Submission("job1", 1, 0)).m_status == 202);
+  CHECK(WaitFor(
+      [&] {
+        return cluster.Engine(0).Runs().size() +
+                   cluster.Engine(1).Runs().size() >=
+               6;
+      },
+      Millis(20'000)));
+  cluster.Engine(0).SetFaults({});
+  cluster.Engine(1).SetFaults({});
+  CheckResults(cluster.WaitForResults(1, "job1", kJobTimeout), "job1", 1, 5);
+}
+
 TEST_CASE("a workspace over its cap is told when to come back") {
   GatewayClusterOptions options;
   options.m_engine.m_events = 100;
