--- a/packages/dispatch/crashing_part_tracker.cc
+++ b/packages/dispatch/crashing_part_tracker.cc
@@ -51,7 +51,12 @@
     RecordCompletion(m_parts, {&part, 1}, now - report.m_age);
   }
   for (const PartReport& report : gossip.m_blamed_parts) {
-    RecordBlame(m_parts, report.m_part, now - report.m_age, now);
+    if (RecordBlame(m_parts, report.m_part, now - report.m_age, now)) {
+      Log(Severity::kWarning, LogPart::kRouting,
+          "Another VM reports that a prompt part crashes upstreams; requests "
+          "with it are refused.",
+          {{"part", report.m_part}, {"vm", gossip.m_sender.m_id}});
+    }
   }
   for (const PartCrashReport& report : gossip.m_part_crashes) {
     PartCrash crash;
--- a/packages/dispatch/crashing_parts.cc
+++ b/packages/dispatch/crashing_parts.cc
@@ -130,15 +130,15 @@
   }
 }
 
-void RecordBlame(CrashingParts& parts,
+bool RecordBlame(CrashingParts& parts,
                  uint32_t part,
                  Millis since,
                  Millis now) {
   if (since > LastCompletion(parts, part)) {
-    parts.m_blamed.emplace(part, since);
-  } else {
-    parts.m_disputed[part] = now;
+    return parts.m_blamed.emplace(part, since).second;
   }
+  parts.m_disputed[part] = now;
+  return false;
 }
 
 std::vector<uint32_t> BlameParts(CrashingParts& parts, Millis now) {
--- a/packages/dispatch/crashing_parts.h
+++ b/packages/dispatch/crashing_parts.h
@@ -47,8 +47,9 @@
                       std::span<const uint32_t> completed,
                       Millis at);
 // Records that a peer blames a part for crashes since `since`. The part is
-// disputed if it has completed after that.
-void RecordBlame(CrashingParts& parts, uint32_t part, Millis since, Millis now);
+// disputed if it has completed after that. Returns whether it wasn't blamed
+// before and is now.
+bool RecordBlame(CrashingParts& parts, uint32_t part, Millis since, Millis now);
 
 // Time that peers have to report complete responses after a crash, before it
 // counts against a part.
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -375,6 +375,11 @@
 }
 
 ServeResult OnlineRequest::RejectCrashingPart() {
+  Log(Severity::kInfo, LogPart::kRouting,
+      "The request has a prompt part that crashes upstreams.",
+      {{"request", m_request.m_fields.m_request_id},
+       {"part", *m_node.m_crashing_parts.FindBlamedPart(
+                    m_request.m_fields.m_shared_parts)}});
   return Reject(ResultCode::kUpstreamFailed,
                 "a part of the prompt crashes the upstreams that answer it",
                 Millis());
--- a/standins/platform_replica_standin.cc
+++ b/standins/platform_replica_standin.cc
@@ -162,8 +162,18 @@
       deadline.empty() ? -1 : std::strtoll(deadline.c_str(), nullptr, 10);
   {
     absl::MutexLock lock(&m_mutex);
+    if (!faults.m_crashing_part.empty() &&
+        HeaderOf(request, "Prompt-Prefix").find(faults.m_crashing_part) !=
+            std::string::npos) {
+      m_is_crashed = true;
+    }
     m_runs.push_back(run);
-    if (m_faults.m_break_after >= 0 && m_faults.m_breaks_left > 0) {
+    if (m_is_crashed) {
+      cut = true;
+      faults.m_break_after = 0;
+      m_server.StopListening();
+    }
+    if (!cut && m_faults.m_break_after >= 0 && m_faults.m_breaks_left > 0) {
       --m_faults.m_breaks_left;
       cut = true;
     }
--- a/standins/platform_replica_standin.h
+++ b/standins/platform_replica_standin.h
@@ -33,6 +33,9 @@
   int m_fail_status = 0;          // answers have this status
   bool m_silent = false;          // requests get no answer for some seconds
   int m_slow_factor = 1;          // of the gap between events
+  // A request with this in its prompt ends the replica as a crash does, before
+  // the first event; empty: none does.
+  std::string m_crashing_part;
 };
 
 // A request that the replica ran.
@@ -88,6 +91,7 @@
   const PlatformReplicaOptions m_options;
   NetAddress m_listed;  // without a port: its own
   absl::Mutex m_mutex;
+  bool m_is_crashed ABSL_GUARDED_BY(m_mutex) = false;
   PlatformReplicaFaults m_faults ABSL_GUARDED_BY(m_mutex);
   std::vector<ReplicaRun> m_runs ABSL_GUARDED_BY(m_mutex);
   StandinServer m_server;
--- a/standins/standin_server.cc
+++ b/standins/standin_server.cc
@@ -36,6 +36,10 @@
   m_running = true;
 }
 
+void StandinServer::StopListening() {
+  m_server->StopListening();
+}
+
 void StandinServer::Stop() {
   if (m_server != nullptr) {
     m_server->StopListening();
--- a/standins/standin_server.h
+++ b/standins/standin_server.h
@@ -24,6 +24,8 @@
   // Starts on the port of the last run, or on a new one.
   void Start();
   // Cuts all connections, as a crash does.
+  // Refuses new connections; open ones go on.
+  void StopListening();
   void Stop();
 
   bool IsRunning() const { return m_running; }
--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -343,6 +343,44 @@
   CHECK(cluster.Call(MakeRequest("/stream/x", "other")).m_status == 200);
 }
 
+TEST_CASE("requests with a part that crashes upstreams stop crashing them") {
+  GatewayClusterOptions options;
+  options.m_engines = 10;
+  GatewayCluster cluster(options);
+  PlatformReplicaFaults faults;
+  faults.m_crashing_part = "dead";
+  for (int i = 0; i < options.m_engines; ++i) {
+    cluster.Engine(i).SetFaults(faults);
+  }
+  const auto call = [&](const std::string& part, const std::string& id,
+                        int vm) {
+    GatewayRequest request = MakeRequest("/stream/x", id);
+    request.m_vm = vm;
+    request.m_body = id;
+    request.m_headers = {
+        {"Prompt-Prefix", Concat("aaaa:100,", part, ":100,", id, ":50")}};
+    return cluster.Call(request).m_status;
+  };
+  for (int i = 0; i < 5; ++i) {
+    CHECK(call("dead", Concat("d", i), i % 2) != 200);
+    SleepFor(Millis(300));
+  }
+  for (size_t vm = 0; vm < 2; ++vm) {
+    CHECK(WaitFor(
+        [&] {
+          return cluster.LogOf(vm).find("prompt part crashes upstreams") !=
+                 std::string::npos;
+        },
+        kSpreadTimeout));
+  }
+  for (int i = 5; i < 15; ++i) {
+    const std::string id = Concat("d", i);
+    CHECK(call("dead", id, i % 2) == 502);
+    CHECK(CountRuns(cluster, options.m_engines, id) == 0);
+    CHECK(call("bbbb", Concat("s", i), i % 2) == 200);
+  }
+}
+
 // The store may keep a watch open and tell nothing on it (hunt on cbes-gtd, mix
 // --seed 568653566410): the VM served an old configuration for 28 s.
 TEST_CASE("a VM whose watches tell nothing learns of changes from its peers") {
