Take over a job again whose owner doesn't know that it owns it

A read of the job at this VM then recorded the VM itself as the owner, which is alive, so that neither it nor the others looked at the job again. A write that lost its reply at the end of a job, and a job dropped after a failed write, could end the same way.

The log line names the job.

Evidence: 'a job whose owner doesn't know that it owns it isn't left lying'; the former FindOrphans returned no job of a living owner. jobs_test 15 of 15, gateway_jobs_test 13 of 13.

--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -344,7 +344,11 @@
   // The job may have been taken back meanwhile, as another object.
   const auto found = m_table.m_jobs.find(job.m_spec.m_id);
   if (found != m_table.m_jobs.end() && found->second.get() == &job) {
-    m_table.m_claims.Forget(job.m_spec.m_id);
+    // The claim makes the takeover read who owns the job now.
+    const VmRecord& self = m_dependencies.m_cluster.Self();
+    m_table.m_claims.Record(
+        job.m_spec.m_id,
+        JobClaim{self.m_id, self.m_incarnation, true, MonotonicNow()});
     m_table.m_jobs.erase(found);
   }
 }
--- a/packages/jobs/job_claims.cc
+++ b/packages/jobs/job_claims.cc
@@ -36,15 +36,25 @@
   return found == m_claims.end() ? nullptr : &found->second;
 }
 
-std::vector<std::string> JobClaims::FindOrphans(const ClusterView& cluster,
-                                                Millis now) const {
+std::vector<std::string> JobClaims::FindOrphans(
+    const ClusterView& cluster,
+    Millis now,
+    absl::FunctionRef<bool(std::string_view)> runs_here) const {
+  const VmRecord& self = cluster.Self();
   std::vector<std::string> orphans;
   for (auto entry = m_claims.begin(); entry != m_claims.end(); ++entry) {
     const JobClaim& claim = entry->second;
-    if (claim.m_open &&
-        cluster.IsLost(claim.m_owner, claim.m_owner_incarnation, now) &&
-        cluster.FirstResponsiveVmFor(entry->first, now) ==
-            cluster.Self().m_id) {
+    if (!claim.m_open) {
+      continue;
+    }
+    const bool is_own = claim.m_owner == self.m_id &&
+                        claim.m_owner_incarnation == self.m_incarnation;
+    const bool is_orphan =
+        is_own
+            ? !runs_here(entry->first)
+            : cluster.IsLost(claim.m_owner, claim.m_owner_incarnation, now) &&
+                  cluster.FirstResponsiveVmFor(entry->first, now) == self.m_id;
+    if (is_orphan) {
       orphans.push_back(entry->first);
     }
   }
--- a/packages/jobs/job_claims.h
+++ b/packages/jobs/job_claims.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include <absl/functional/function_ref.h>
+
 #include "cluster/cluster_view.h"
 
 namespace bronzecross {
@@ -30,11 +32,14 @@
 
   // Returns null if no claim of the job is known.
   const JobClaim* Find(std::string_view job) const;
-  // Returns the open jobs whose owner is lost and that this VM should take
-  // over. The job id determines which VM that is, so that each
-  // orphan is taken over by one VM.
-  std::vector<std::string> FindOrphans(const ClusterView& cluster,
-                                       Millis now) const;
+  // Returns the open jobs that this VM should take over: those whose owner is
+  // lost, where the job id determines the VM, so that each is taken over by one
+  // VM; and those of which this VM is the owner although `runs_here` is false,
+  // as after a takeover whose effect it didn't learn of.
+  std::vector<std::string> FindOrphans(
+      const ClusterView& cluster,
+      Millis now,
+      absl::FunctionRef<bool(std::string_view)> runs_here) const;
 
  private:
   std::map<std::string, JobClaim, std::less<>> m_claims;
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -52,8 +52,12 @@
   }
   Result<JobPtr> job = co_await m_store.TakeOver(*std::move(stored));
   if (!job) {
-    LogError(Severity::kInfo, LogPart::kBatch, "Couldn't take over a job.",
-             job.error());
+    Log(Severity::kInfo, LogPart::kBatch, "Couldn't take over a job.",
+        {{"job", id}, {"reason", job.error().m_message}});
+    // The write may have taken effect or may do so later. The claim makes this
+    // VM look again, as all others take it for the owner then.
+    m_table.m_claims.Record(id,
+                            JobClaim{self.m_id, self.m_incarnation, true, now});
     co_return;
   }
   Log(Severity::kInfo, LogPart::kBatch, "Took over a job.",
@@ -107,8 +111,9 @@
   co_await Sleep(kMembershipSettleTime);
   for (;;) {
     const Millis now = MonotonicNow();
-    std::vector<std::string> orphans =
-        m_table.m_claims.FindOrphans(m_dependencies.m_cluster, now);
+    std::vector<std::string> orphans = m_table.m_claims.FindOrphans(
+        m_dependencies.m_cluster, now,
+        [this](std::string_view id) { return m_table.Has(id); });
     const std::vector<std::string> found = co_await Scan(now);
     orphans.insert(orphans.end(), found.begin(), found.end());
     for (const std::string& id : orphans) {
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -207,6 +207,26 @@
   return event;
 }
 
+bool RunsNowhere(std::string_view) {
+  return false;
+}
+
+TEST_CASE("a job whose owner doesn't know that it owns it isn't left lying") {
+  VmRecord self;
+  self.m_id = "a";
+  self.m_incarnation = 2;
+  ClusterView a(self);
+  a.OnEvent(ListedVm("b"));
+  JobClaims claims;
+  claims.Record("taken-over", {"a", 2, true, Millis(1)});
+  claims.Record("running", {"a", 2, true, Millis(1)});
+  claims.Record("done", {"a", 2, false, Millis(1)});
+  claims.Record("elsewhere", {"b", 1, true, Millis(1)});
+  const std::vector<std::string> orphans = claims.FindOrphans(
+      a, Millis(1), [](std::string_view id) { return id == "running"; });
+  CHECK(orphans == std::vector<std::string>{"taken-over"});
+}
+
 TEST_CASE("the remaining VMs divide the open jobs of a removed VM") {
   VmRecord self;
   self.m_id = "a";
@@ -223,13 +243,13 @@
     claims.Record("open-" + std::to_string(i), {"c", 1, true, Millis(1)});
     claims.Record("done-" + std::to_string(i), {"c", 1, false, Millis(1)});
   }
-  CHECK(claims.FindOrphans(a, Millis(1)).empty());
+  CHECK(claims.FindOrphans(a, Millis(1), RunsNowhere).empty());
   KvEvent removed = ListedVm("c");
   removed.m_removed = true;
   a.OnEvent(removed);
   b.OnEvent(removed);
-  const size_t at_a = claims.FindOrphans(a, Millis(1)).size();
-  const size_t at_b = claims.FindOrphans(b, Millis(1)).size();
+  const size_t at_a = claims.FindOrphans(a, Millis(1), RunsNowhere).size();
+  const size_t at_b = claims.FindOrphans(b, Millis(1), RunsNowhere).size();
   CHECK(at_a + at_b == 50);
   CHECK(at_a > 0);
   CHECK(at_b > 0);
