--- a/tests/integration/gateway_path_test.cc
+++ b/tests/integration/gateway_path_test.cc
@@ -659,5 +659,49 @@
   }
 }
 
+TEST_CASE("a large fleet learns of changes that none of its watches tell of") {
+  GatewayClusterOptions options;
+  options.m_vms = 18;
+  options.m_store_proxies = true;
+  GatewayCluster cluster(options);
+  // All VMs know each other by now, and so agree on the watchers.
+  SleepFor(Millis(3'000));
+  PlatformStoreFaults faults;
+  faults.m_deaf_watches = 10'000;
+  cluster.Store().SetFaults(faults);
+  for (int vm = 0; vm < options.m_vms; ++vm) {
+    cluster.StoreProxy(vm).CutAll();
+  }
+  SleepFor(Millis(1'000));
+  cluster.Operator().PublishKey(9, "key-new");
+  cluster.Engine(0).Register("draining");
+  for (int vm = 0; vm < options.m_vms; ++vm) {
+    CHECK(WaitFor(
+        [&] {
+          GatewayRequest request = MakeRequest("/plain/x", Concat("k", vm));
+          request.m_vm = vm;
+          request.m_key = "key-new";
+          return cluster.Call(request).m_status == 200;
+        },
+        kSpreadTimeout));
+  }
+  int request_id = 0;
+  CHECK(WaitFor(
+      [&] {
+        const size_t before = cluster.Engine(0).Runs().size();
+        for (int vm = 0; vm < options.m_vms; ++vm) {
+          for (int i = 0; i < 3; ++i) {
+            GatewayRequest request =
+                MakeRequest("/plain/x", Concat("o", ++request_id));
+            request.m_vm = vm;
+            request.m_key = "key-new";
+            CHECK(cluster.Call(request).m_status == 200);
+          }
+        }
+        return cluster.Engine(0).Runs().size() == before;
+      },
+      kSpreadTimeout));
+}
+
 }  // namespace
 }  // namespace bronzecross
