--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/text.h"
-#include "world.h"
+#include "world.hpp"
 
 namespace review {
 namespace {
@@ -55,7 +55,9 @@
 
 // Clients submit jobs at one VM, which is killed once it has accepted the
 // first. Clients without an answer repeat theirs at another VM.
-std::vector<JobSeen> SubmitAndKill(World& world, int round, int accepts,
+std::vector<JobSeen> SubmitAndKill(World& world,
+                                   int round,
+                                   int accepts,
                                    int other) {
   std::vector<JobSeen> jobs;
   for (int i = 0; i < kJobs; ++i) {
@@ -156,11 +158,13 @@
       }
       return Verdict(false, Concat("30 s after the VM was back and without any "
                                    "work at the replicas, accepted jobs are "
-                                   "not listed:", lost));
+                                   "not listed:",
+                                   lost));
     }
   }
   return accepted == 0 ? CannotRun("no job was accepted")
-                       : Verdict(true, Concat(accepted, " jobs accepted, all "
+                       : Verdict(true, Concat(accepted,
+                                              " jobs accepted, all "
                                               "items listed"));
 }
 
--- a/review/common/record.cc
+++ b/review/common/record.cpp
@@ -1,4 +1,4 @@
-#include "record.h"
+#include "record.hpp"
 
 #include <cstdlib>
 #include <memory>
--- a/review/common/record.h
+++ b/review/common/record.hpp
@@ -1,8 +1,8 @@
 // The record of a case: one line for each thing that was sent, answered, run or
 // done to a process, with the time since the start of the script.
 
-#ifndef REVIEW_COMMON_RECORD_H_
-#define REVIEW_COMMON_RECORD_H_
+#ifndef REVIEW_COMMON_RECORD_HPP_
+#define REVIEW_COMMON_RECORD_HPP_
 
 #include <cstdio>
 #include <string>
@@ -36,4 +36,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_RECORD_H_
+#endif  // REVIEW_COMMON_RECORD_HPP_
--- a/review/common/replica.cc
+++ b/review/common/replica.cpp
@@ -1,11 +1,11 @@
-#include "replica.h"
+#include "replica.hpp"
 
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
 
 #include "base/text.h"
-#include "record.h"
+#include "record.hpp"
 
 namespace review {
 namespace {
@@ -105,10 +105,10 @@
   run.m_body = request.m_body;
   run.m_resume_after =
       std::strtoll(HeaderOf(request, "Last-Event-Id").c_str(), nullptr, 10);
-  TheRecord().Line(m_options.m_id,
-                   Concat("runs ", id, " ", request.m_method, " ",
-                          request.m_path, " tenant=", run.m_tenant,
-                          " after event ", run.m_resume_after));
+  TheRecord().Line(
+      m_options.m_id,
+      Concat("runs ", id, " ", request.m_method, " ", request.m_path,
+             " tenant=", run.m_tenant, " after event ", run.m_resume_after));
   absl::MutexLock lock(&m_mutex);
   m_runs.push_back(std::move(run));
   return m_runs.size() - 1;
@@ -147,8 +147,7 @@
   const size_t run = BeginRun(request, id);
   const std::shared_ptr<AtEnd> at_end =
       std::make_shared<AtEnd>([this, run] { EndRun(run); });
-  reply.m_headers.push_back(
-      {"Server-Stamp", Concat("stamp-", m_options.m_id)});
+  reply.m_headers.push_back({"Server-Stamp", Concat("stamp-", m_options.m_id)});
   reply.m_headers.push_back({"Content-Type", "text/event-stream"});
   reply.m_headers.push_back({"Weight-Versions", "1"});
   const int64_t events = std::max<int64_t>(OutputTokens(request) / 10, 1);
--- a/review/common/replica.h
+++ b/review/common/replica.hpp
@@ -3,14 +3,14 @@
 // and drops a request when its connection closes. The data of an event depends
 // on the request's id and the event's number only.
 
-#ifndef REVIEW_COMMON_REPLICA_H_
-#define REVIEW_COMMON_REPLICA_H_
+#ifndef REVIEW_COMMON_REPLICA_HPP_
+#define REVIEW_COMMON_REPLICA_HPP_
 
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "store.h"
+#include "store.hpp"
 
 namespace review {
 
@@ -67,4 +67,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_REPLICA_H_
+#endif  // REVIEW_COMMON_REPLICA_HPP_
--- a/review/common/store.cc
+++ b/review/common/store.cpp
@@ -1,11 +1,11 @@
-#include "store.h"
+#include "store.hpp"
 
 #include <algorithm>
 #include <cstdlib>
 
 #include "base/base64.h"
 #include "base/text.h"
-#include "record.h"
+#include "record.hpp"
 
 namespace review {
 namespace {
@@ -112,7 +112,8 @@
   return m_faults[static_cast<size_t>(vm)];
 }
 
-void Store::PutLocked(const std::string& key, const std::string& value,
+void Store::PutLocked(const std::string& key,
+                      const std::string& value,
                       int64_t lease) {
   Item& item = m_items[key];
   item.m_value = value;
--- a/review/common/store.h
+++ b/review/common/store.hpp
@@ -2,8 +2,8 @@
 // reaches it at an address of its own, so that a fault can be limited to one VM
 // and each call be attributed.
 
-#ifndef REVIEW_COMMON_STORE_H_
-#define REVIEW_COMMON_STORE_H_
+#ifndef REVIEW_COMMON_STORE_HPP_
+#define REVIEW_COMMON_STORE_HPP_
 
 #include <atomic>
 #include <map>
@@ -75,7 +75,8 @@
   HttpReply End(const std::string& id);
 
   StoreFaults FaultsOf(int vm);
-  void PutLocked(const std::string& key, const std::string& value,
+  void PutLocked(const std::string& key,
+                 const std::string& value,
                  int64_t lease) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void RemoveLocked(const std::string& key)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -96,4 +97,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_STORE_H_
+#endif  // REVIEW_COMMON_STORE_HPP_
--- a/review/common/world.h
+++ b/review/common/world.hpp
@@ -2,8 +2,8 @@
 // started with the commands of the deploy file, among a store, an operator,
 // replicas and clients.
 
-#ifndef REVIEW_COMMON_WORLD_H_
-#define REVIEW_COMMON_WORLD_H_
+#ifndef REVIEW_COMMON_WORLD_HPP_
+#define REVIEW_COMMON_WORLD_HPP_
 
 #include <memory>
 #include <string>
@@ -11,9 +11,9 @@
 
 #include "harness/child_process.h"
 #include "http/http_client.h"
-#include "record.h"
-#include "replica.h"
-#include "store.h"
+#include "record.hpp"
+#include "replica.hpp"
+#include "store.hpp"
 
 namespace review {
 
@@ -58,12 +58,18 @@
 
   bronzecross::HttpAnswer Call(const ClientCall& call);
   // Submits a job of `items` items that give `events` events each.
-  int Submit(int vm, const std::string& job, int items, int events,
+  int Submit(int vm,
+             const std::string& job,
+             int items,
+             int events,
              Millis deadline = Millis(4'000));
   // Ends a job.
   int End(int vm, const std::string& job, Millis deadline = Millis(4'000));
   // Reads the results from `after`; sets `next` and `total` after status 200.
-  int Read(int vm, const std::string& job, int after, nlohmann::json& page,
+  int Read(int vm,
+           const std::string& job,
+           int after,
+           nlohmann::json& page,
            Millis wait = Millis());
   // The status of reading an item's body.
   int ReadBody(int vm, const std::string& job, int item);
@@ -107,4 +113,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_WORLD_H_
+#endif  // REVIEW_COMMON_WORLD_HPP_
