--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -19,11 +19,11 @@
 
 constexpr int kSlots = 4;
 constexpr Millis kEventGap{100};
-constexpr Millis kFrozenFor{5'000};
+constexpr Millis kFrozenFor{4'820};  // and at most one round of reads more
 // Times after the start of the freeze.
-constexpr Millis kEndAt{4'200};        // the first job's end is asked for
-constexpr Millis kSlotsFreeAt{4'400};  // the second job's item can run
-constexpr Millis kSlotsTakenAt{4'900};
+constexpr Millis kEndAt{4'000};        // the first job's end is asked for
+constexpr Millis kSlotsFreeAt{4'150};  // the second job's item can run
+constexpr Millis kSlotsTakenAt{4'650};
 constexpr Millis kSlotsFreeAgainAt{13'000};
 constexpr Millis kReadUntil{12'500};
 
