--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -56,6 +56,7 @@
   busy.m_busy = true;
   StoreFaults late;
   late.m_late_write = kLateBy;
+  late.m_late_key = "/job0/";
   if (HasTrouble()) {
     world.TheStore().SetFaults(first, busy);
     TheRecord().Line("store", Concat("turns vm-", first, " away with 503"));
@@ -65,7 +66,17 @@
         world.TheStore().SetFaults(vm, late);
       }
     }
-    TheRecord().Line("store", "does writes late and does not answer them");
+    TheRecord().Line("store",
+                     "does one of three writes late and does not answer it");
+  }
+  // Two other clients, whose jobs are accepted.
+  std::vector<std::thread> others;
+  std::vector<int> accepted(2, 0);
+  for (int i = 0; i < 2; ++i) {
+    others.emplace_back([&, i] {
+      accepted[i] = world.Submit((first + 1 + i) % options.m_vms,
+                                 Concat("other", i), kItems, kEvents);
+    });
   }
   // The client asks until its 4 s are over, each time at another VM.
   std::vector<int> statuses;
@@ -93,7 +104,13 @@
   world.TheStore().SetFaultsOfAll(StoreFaults());
   TheRecord().Line("store", "is up");
   client.join();
+  for (std::thread& other : others) {
+    other.join();
+  }
   SleepFor(kObserve);
+  if (accepted[0] != 202 || accepted[1] != 202) {
+    return CannotRun("the other clients' jobs were not accepted");
+  }
   for (const int status : statuses) {
     if (status == 202) {
       return Verdict(true, "the job was accepted");
--- a/review/common/store.cpp
+++ b/review/common/store.cpp
@@ -325,7 +325,8 @@
   if (path == "/api/kv-watch") {
     return Watch(vm, request);
   }
-  if (path == "/api/kv-txn" && faults.m_late_write > Millis()) {
+  if (path == "/api/kv-txn" && faults.m_late_write > Millis() &&
+      request.m_body.find(faults.m_late_key) != std::string::npos) {
     TheRecord().Line("store", Concat("vm-", vm, " late write is under way"));
     const Millis until = MonotonicNow() + faults.m_late_write;
     while (MonotonicNow() < until && !m_stopping) {
--- a/review/common/store.hpp
+++ b/review/common/store.hpp
@@ -27,8 +27,10 @@
 // Faults towards one VM.
 struct StoreFaults {
   bool m_busy = false;  // every call is answered 503 and does nothing
-  // Writes take effect this much later and are never answered; zero: normal.
+  // Writes of a key that contains m_late_key take effect this much later and
+  // are never answered; zero: normal.
   Millis m_late_write;
+  std::string m_late_key;
   Millis m_answer_time{4};
 };
 
