--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -20,7 +20,7 @@
 constexpr int kJobs = 12;  // of one round
 constexpr int kItems = 2;
 constexpr int kEvents = 10;
-constexpr Millis kDownFor{4'000};
+constexpr Millis kDownFor{3'300};
 constexpr Millis kStartupScans{12'000};
 // One VM lists the open jobs each 5 to 8 s. The next list follows the kill
 // within 3.1 s; the registration of the killed VM ends 1.6 to 3 s after the
