Take over jobs that only a VM which answered for them knows of

Cause: a job belongs to the VM in its stored state, but VMs act on claims in memory. A repeated submission that met the stored job recorded no claim; a scan that read the job before its owner counted as lost recorded one, and then no later scan looked at the job; and an orphan was left to the VM that the hash of its id selects, which may never have heard of it.

Change: a claim counts as shown by its owner only once the owner has announced the job itself. A VM that has answered a caller about a job watches it: it takes the job over when the owner is lost, as does the VM that scans for the fleet. A live owner that is heard for 3 s without announcing the job has forgotten it and loses it too.

"who has answered for a job takes it over from a lost owner" and "a live owner that never announces a job loses it" (jobs_test) use new parameters, so they don't build before.

--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -346,9 +346,10 @@
   if (found != m_table.m_jobs.end() && found->second.get() == &job) {
     // The claim makes the takeover read who owns the job now.
     const VmRecord& self = m_dependencies.m_cluster.Self();
-    m_table.m_claims.Record(
-        job.m_spec.m_id,
-        JobClaim{self.m_id, self.m_incarnation, true, MonotonicNow()});
+    m_table.m_claims.Record(job.m_spec.m_id,
+                            JobClaim{.m_owner = self.m_id,
+                                     .m_owner_incarnation = self.m_incarnation,
+                                     .m_recorded = MonotonicNow()});
     m_table.m_jobs.erase(found);
   }
 }
--- a/packages/jobs/job_claims.h
+++ b/packages/jobs/job_claims.h
@@ -11,19 +11,37 @@
 #include <absl/functional/function_ref.h>
 
 #include "cluster/cluster_view.h"
+#include "jobs/job_record.h"
 
 namespace bronzecross {
 
-// A VM's announcement that it runs or ran a job.
+// What this VM knows of the owner of a job, from the owner's announcements or
+// from the stored state of the job.
 struct JobClaim {
   std::string m_owner;
   uint64_t m_owner_incarnation = 0;
   bool m_open = true;
-  Millis m_recorded;  // monotonic time
+  // Monotonic time at which this owner became known.
+  Millis m_recorded;
+  // The owner itself has announced the job. Before that it may not know that it
+  // owns it, as after a write whose reply was lost.
+  bool m_announced = false;
+  // This VM has answered a caller about the job, so it must see to it that the
+  // job has an owner: it may be the only VM that knows of the job.
+  bool m_watched = false;
 };
 
+// Returns the claim that the stored state of a job shows at the time `now`.
+JobClaim ClaimOf(const BatchJobState& state, Millis now);
+
+// Returns true if the owner of the claim is alive but has had time to announce
+// the job and hasn't done so.
+bool IsForgotten(const JobClaim& claim, const ClusterView& cluster);
+
 class JobClaims {
  public:
+  // Adds or replaces a claim. What is known of the same owner is kept, and a
+  // watched job stays watched.
   void Record(std::string_view job, JobClaim claim);
   void Forget(std::string_view job);
   void OnGossip(const GossipMessage& gossip, Millis now);
@@ -33,12 +51,15 @@
   // Returns null if no claim of the job is known.
   const JobClaim* Find(std::string_view job) const;
   // Returns the open jobs that this VM should take over: those whose owner is
-  // lost, where the job id determines the VM, so that each is taken over by one
-  // VM; and those of which this VM is the owner although `runs_here` is false,
-  // as after a takeover whose effect it didn't learn of.
+  // lost or has forgotten them, and those of which this VM is the owner
+  // although `runs_here` is false, as after a takeover whose effect it didn't
+  // learn of. The job id determines the VM that takes a job over. As that VM
+  // may not know of the job, a VM that watches the job takes it over, too, and
+  // so does the VM that scans the store for the fleet.
   std::vector<std::string> FindOrphans(
       const ClusterView& cluster,
       Millis now,
+      absl::FunctionRef<bool()> is_scanner,
       absl::FunctionRef<bool(std::string_view)> runs_here) const;
 
  private:
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -220,14 +220,27 @@
     co_return Fail(ResultCode::kConflict,
                    "the job id is used by another workspace");
   }
+  if (*pending->m_outcome == WriteOutcome::kExists &&
+      !m_table.Has(job->m_spec.m_id)) {
+    WatchJob(job->m_spec.m_id, job->m_state);
+  }
   co_return Status();
 }
 
+void JobService::WatchJob(std::string_view id, const BatchJobState& state) {
+  JobClaim claim = ClaimOf(state, MonotonicNow());
+  claim.m_watched = true;
+  m_table.m_claims.Record(id, std::move(claim));
+}
+
 void JobService::Activate(JobPtr job) {
   m_table.m_claims.Record(
-      job->m_spec.m_id, JobClaim{m_dependencies.m_cluster.Self().m_id,
-                                 m_dependencies.m_cluster.Self().m_incarnation,
-                                 true, MonotonicNow()});
+      job->m_spec.m_id,
+      JobClaim{
+          .m_owner = m_dependencies.m_cluster.Self().m_id,
+          .m_owner_incarnation = m_dependencies.m_cluster.Self().m_incarnation,
+          .m_recorded = MonotonicNow(),
+          .m_announced = true});
   m_table.m_jobs[job->m_spec.m_id] = job;
   m_dependencies.m_send_gossip();
   m_scheduler.StartItems();
@@ -260,9 +273,7 @@
   if (state.m_workspace != workspace) {
     co_return FailJobNotFound();
   }
-  m_table.m_claims.Record(
-      id, JobClaim{state.m_owner, state.m_owner_incarnation,
-                   state.m_phase == JobPhase::kOpen, MonotonicNow()});
+  WatchJob(id, state);
   if (state.m_listed <= after) {
     co_return MakePage(state.m_total, std::vector<JobResult>(), after);
   }
@@ -352,8 +363,7 @@
   if (stored->m_state.m_workspace != workspace) {
     co_return FailJobNotFound();
   }
-  JobClaim claim{stored->m_state.m_owner, stored->m_state.m_owner_incarnation,
-                 stored->m_state.m_phase == JobPhase::kOpen, MonotonicNow()};
+  JobClaim claim = ClaimOf(stored->m_state, MonotonicNow());
   Status cancelled;
   if (claim.m_open) {
     cancelled = co_await m_store.CancelStored(id, *stored);
--- a/packages/jobs/job_service.h
+++ b/packages/jobs/job_service.h
@@ -75,6 +75,8 @@
   Task<Result<WriteOutcome>> CancelOwn(JobPtr job, Millis deadline);
   // Cancels a job that this VM does not have in memory.
   Task<Status> CancelRemote(std::string id, std::string workspace);
+  // Records the owner of a job that this VM has answered a caller about.
+  void WatchJob(std::string_view id, const BatchJobState& state);
   // Adds a job that this VM now owns, announces it and starts its items.
   void Activate(JobPtr job);
   // Returns the tokens of unfinished items at all VMs, as far as known.
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -43,11 +43,15 @@
   const bool is_open = state.m_phase == JobPhase::kOpen;
   const bool is_own = state.m_owner == self.m_id &&
                       state.m_owner_incarnation == self.m_incarnation;
-  if (!is_open ||
-      (!is_own && !m_dependencies.m_cluster.IsLost(
-                      state.m_owner, state.m_owner_incarnation, now))) {
-    m_table.m_claims.Record(
-        id, JobClaim{state.m_owner, state.m_owner_incarnation, is_open, now});
+  const JobClaim* claim = m_table.m_claims.Find(id);
+  const bool is_forgotten =
+      claim != nullptr && claim->m_owner == state.m_owner &&
+      claim->m_owner_incarnation == state.m_owner_incarnation &&
+      IsForgotten(*claim, m_dependencies.m_cluster);
+  if (!is_open || (!is_own && !is_forgotten &&
+                   !m_dependencies.m_cluster.IsLost(
+                       state.m_owner, state.m_owner_incarnation, now))) {
+    m_table.m_claims.Record(id, ClaimOf(state, now));
     co_return;
   }
   Result<JobPtr> job = co_await m_store.TakeOver(*std::move(stored));
@@ -57,7 +61,9 @@
     // The write may have taken effect or may do so later. The claim makes this
     // VM look again, as all others take it for the owner then.
     m_table.m_claims.Record(id,
-                            JobClaim{self.m_id, self.m_incarnation, true, now});
+                            JobClaim{.m_owner = self.m_id,
+                                     .m_owner_incarnation = self.m_incarnation,
+                                     .m_recorded = now});
     co_return;
   }
   Log(Severity::kInfo, LogPart::kBatch, "Took over a job.",
@@ -95,12 +101,15 @@
                 Millis(static_cast<int64_t>(
                     RandomBelow(ThreadRandom(), kStartupScanInterval.count())));
   for (const std::string& id : *open) {
-    const bool is_unknown =
-        m_table.m_claims.Find(id) == nullptr && !m_table.Has(id);
+    // A claim that its owner hasn't announced doesn't show that the job runs.
+    const JobClaim* claim = m_table.m_claims.Find(id);
+    const bool is_announced =
+        claim != nullptr && (claim->m_announced || !claim->m_open);
     // The scanner of the fleet takes over all of them, as no other VM scans.
-    if (is_unknown && (!is_startup_scan ||
-                       m_dependencies.m_cluster.FirstResponsiveVmFor(id, now) ==
-                           m_dependencies.m_cluster.Self().m_id)) {
+    if (!is_announced && !m_table.Has(id) &&
+        (!is_startup_scan ||
+         m_dependencies.m_cluster.FirstResponsiveVmFor(id, now) ==
+             m_dependencies.m_cluster.Self().m_id)) {
       orphans.push_back(id);
     }
   }
@@ -112,7 +121,7 @@
   for (;;) {
     const Millis now = MonotonicNow();
     std::vector<std::string> orphans = m_table.m_claims.FindOrphans(
-        m_dependencies.m_cluster, now,
+        m_dependencies.m_cluster, now, [this, now] { return IsScanner(now); },
         [this](std::string_view id) { return m_table.Has(id); });
     const std::vector<std::string> found = co_await Scan(now);
     orphans.insert(orphans.end(), found.begin(), found.end());
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -211,6 +211,10 @@
   return false;
 }
 
+bool IsNoScanner() {
+  return false;
+}
+
 TEST_CASE("a job whose owner doesn't know that it owns it isn't left lying") {
   VmRecord self;
   self.m_id = "a";
@@ -222,8 +226,9 @@
   claims.Record("running", {"a", 2, true, Millis(1)});
   claims.Record("done", {"a", 2, false, Millis(1)});
   claims.Record("elsewhere", {"b", 1, true, Millis(1)});
-  const std::vector<std::string> orphans = claims.FindOrphans(
-      a, Millis(1), [](std::string_view id) { return id == "running"; });
+  const std::vector<std::string> orphans =
+      claims.FindOrphans(a, Millis(1), IsNoScanner,
+                         [](std::string_view id) { return id == "running"; });
   CHECK(orphans == std::vector<std::string>{"taken-over"});
 }
 
@@ -243,13 +248,15 @@
     claims.Record("open-" + std::to_string(i), {"c", 1, true, Millis(1)});
     claims.Record("done-" + std::to_string(i), {"c", 1, false, Millis(1)});
   }
-  CHECK(claims.FindOrphans(a, Millis(1), RunsNowhere).empty());
+  CHECK(claims.FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere).empty());
   KvEvent removed = ListedVm("c");
   removed.m_removed = true;
   a.OnEvent(removed);
   b.OnEvent(removed);
-  const size_t at_a = claims.FindOrphans(a, Millis(1), RunsNowhere).size();
-  const size_t at_b = claims.FindOrphans(b, Millis(1), RunsNowhere).size();
+  const size_t at_a =
+      claims.FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere).size();
+  const size_t at_b =
+      claims.FindOrphans(b, Millis(1), IsNoScanner, RunsNowhere).size();
   CHECK(at_a + at_b == 50);
   CHECK(at_a > 0);
   CHECK(at_b > 0);
@@ -258,6 +265,80 @@
   CHECK(claims.Find("open-1") != nullptr);
 }
 
+// Creates a gossip message in which `id` announces open jobs.
+GossipMessage Announcement(const std::string& id,
+                           uint64_t sequence,
+                           std::vector<std::string> jobs) {
+  GossipMessage gossip;
+  gossip.m_sender.m_id = id;
+  gossip.m_sender.m_incarnation = 1;
+  gossip.m_sender.m_zone = "z";
+  gossip.m_sequence = sequence;
+  for (std::string& job : jobs) {
+    gossip.m_jobs.push_back({std::move(job), true});
+  }
+  return gossip;
+}
+
+// Guards against an accepted job that no VM runs, since the VM that the job's
+// id selects has never heard of it.
+TEST_CASE("who has answered for a job takes it over from a lost owner") {
+  VmRecord self;
+  self.m_id = "a";
+  self.m_incarnation = 1;
+  ClusterView a(self);
+  a.OnEvent(ListedVm("b"));
+  JobClaims claims;
+  int left_to_b = 0;
+  for (int i = 0; i < 20; ++i) {
+    const std::string job = "job-" + std::to_string(i);
+    JobClaim claim = {"lost", 1, true, Millis(1)};
+    claims.Record(job, claim);
+    left_to_b += a.FirstResponsiveVmFor(job, Millis(1)) == "b" ? 1 : 0;
+  }
+  REQUIRE(left_to_b > 0);
+  const auto count = [&](bool is_scanner) {
+    return claims
+        .FindOrphans(
+            a, Millis(1), [&] { return is_scanner; }, RunsNowhere)
+        .size();
+  };
+  CHECK(count(false) == static_cast<size_t>(20 - left_to_b));
+  CHECK(count(true) == 20);
+  for (int i = 0; i < 20; ++i) {
+    JobClaim claim = {"lost", 1, true, Millis(2)};
+    claim.m_watched = true;
+    claims.Record("job-" + std::to_string(i), claim);
+  }
+  CHECK(count(false) == 20);
+}
+
+// Guards against a job that stays with an owner that doesn't know of it.
+TEST_CASE("a live owner that never announces a job loses it") {
+  VmRecord self;
+  self.m_id = "a";
+  self.m_incarnation = 1;
+  ClusterView a(self);
+  JobClaims claims;
+  JobClaim claim = {"b", 1, true, Millis(1'000)};
+  claim.m_watched = true;
+  claims.Record("forgotten", claim);
+  claims.Record("announced", claim);
+  const auto hear = [&](uint64_t sequence, int64_t now) {
+    const PeerVm* peer =
+        a.OnGossip(Announcement("b", sequence, {"announced"}), Millis(now));
+    REQUIRE(peer != nullptr);
+    claims.OnGossip(peer->m_gossip, Millis(now));
+    return claims.FindOrphans(a, Millis(now), IsNoScanner, RunsNowhere);
+  };
+  CHECK(hear(1, 1'100).empty());
+  CHECK(hear(2, 3'900).empty());
+  // Reading the stored state again doesn't grant it more time.
+  claim.m_recorded = Millis(3'950);
+  claims.Record("forgotten", claim);
+  CHECK(hear(3, 4'100) == std::vector<std::string>{"forgotten"});
+}
+
 ItemEstimate MakeEstimate(int64_t until_due, int64_t expected, int64_t done) {
   ItemEstimate estimate;
   estimate.m_until_due = Millis(until_due);
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -10,8 +10,10 @@
 #include <thread>
 
 #include "base/text.h"
+#include "cluster/vm_record.h"
 #include "harness/cluster.h"
 #include "harness/gateway_cluster.h"
+#include "jobs/job_record.h"
 #include "standins/platform_caller.h"
 
 namespace bronzecross {
@@ -319,5 +321,55 @@
   CHECK(cut == 0);
 }
 
+// Stores a copy of the open job `like` under another id, owned by `owner`.
+void StoreCopyOfJob(PlatformStoreStandin& store,
+                    const std::string& like,
+                    const std::string& job,
+                    const VmRecord& owner) {
+  std::optional<JobSpec> spec = DecodeJobSpec(store.Get(JobSpecKey(like)));
+  std::optional<BatchJobState> state =
+      DecodeJobState(store.Get(JobStateKey(like)));
+  REQUIRE(spec);
+  REQUIRE(state);
+  spec->m_id = job;
+  for (size_t i = 0; i < spec->m_items.size(); ++i) {
+    spec->m_items[i].m_id = Concat(job, "-", i);
+  }
+  state->m_phase = JobPhase::kOpen;
+  state->m_owner = owner.m_id;
+  state->m_owner_incarnation = owner.m_incarnation;
+  state->m_listed = 0;
+  state->m_groups = 0;
+  state->m_write_id = "lost";
+  store.Put(JobSpecKey(job), EncodeJobSpec(*spec));
+  store.Put(JobStateKey(job), EncodeJobState(*state));
+  store.Put(OpenJobKey(job), "1");
+}
+
+// Guards against an accepted job that nobody runs, since its owner doesn't know
+// of it and the others take it for the owner's.
+TEST_CASE("a stored job that its live owner doesn't know of is run") {
+  GatewayClusterOptions options;
+  options.m_vms = 3;
+  GatewayCluster cluster(options);
+  // Not the VM that scans the store, which would find its own jobs.
+  CHECK(cluster.Call(Submission("job0", 2, 1)).m_status == 202);
+  CheckResults(cluster.WaitForResults(0, "job0", kJobTimeout), "job0", 2, 5);
+  const std::optional<BatchJobState> state =
+      DecodeJobState(cluster.Store().Get(JobStateKey("job0")));
+  REQUIRE(state);
+  VmRecord owner;
+  owner.m_id = state->m_owner;
+  owner.m_incarnation = state->m_owner_incarnation;
+  for (const char* job : {"job1", "job2", "job3", "job4"}) {
+    StoreCopyOfJob(cluster.Store(), "job0", job, owner);
+    // A repeat of the submission, as of a caller whose connection broke.
+    CHECK(cluster.Call(Submission(job, 2, 0)).m_status == 202);
+  }
+  for (const char* job : {"job1", "job2", "job3", "job4"}) {
+    CheckResults(cluster.WaitForResults(2, job, kJobTimeout), job, 2, 5);
+  }
+}
+
 }  // namespace
 }  // namespace bronzecross
