Keep the unknown outcome of a write that another peer is refused

Cause: PeerCalls::Relay() asked a second peer after the first one gave no reply. If the store refused the second, it returned that refusal and dropped that the first peer may have sent the write, so the submission was taken for certainly not stored. A peer's reply without a run state counted as not sent, too, and so did a reply to a transaction that couldn't be read.

Change: once a peer may have sent a call, a later refusal yields an error whose run state is unknown. Only a peer that states it counts as not having sent.

Test, failing before: "a job that a relayed write may still create isn't refused" (gateway_jobs_test, on the program of: 503).

--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -263,7 +263,8 @@
   // watch, for whatever reason this one ended.
   const bool is_long = deadline - now > kRelayTimeout * 2;
   peers.resize(std::min(peers.size(), is_long ? size_t{1} : kMaxRelayPeers));
-  // Unknown if at least one peer may have sent the call to the store.
+  // Unknown if at least one peer may have sent the call to the store. A later
+  // refusal by the store says nothing about that attempt.
   RunState run = RunState::kNotRun;
   for (const std::string& peer : peers) {
     WholeRequest request;
@@ -292,16 +293,23 @@
         ParseDecimal(response->m_head.Find(kPeerStatusField));
     if (response->m_head.m_status != kOkStatus || !status) {
       run = response->m_head.Find(kPeerRunField) ==
-                    RunStateName(RunState::kUnknown)
-                ? RunState::kUnknown
-                : run;
+                    RunStateName(RunState::kNotRun)
+                ? run
+                : RunState::kUnknown;
       continue;
     }
+    const bool is_refusal =
+        *status == kTooManyStatus || *status == kUnavailableStatus;
+    if (is_refusal) {
+      m_failed_relays[peer] = MonotonicNow() + kFailedRelayPause;
+    }
+    if (is_refusal && run == RunState::kUnknown) {
+      break;
+    }
     KvReply reply;
     reply.m_status = static_cast<int>(*status);
     reply.m_body = std::move(response->m_body);
-    if (*status == kTooManyStatus || *status == kUnavailableStatus) {
-      m_failed_relays[peer] = MonotonicNow() + kFailedRelayPause;
+    if (is_refusal) {
       m_no_relay_until = MonotonicNow() + RelayPause(m_relay_failures++);
       co_return reply;
     }
@@ -312,7 +320,9 @@
   m_no_relay_until = MonotonicNow() + RelayPause(m_relay_failures++);
   Error error;
   error.m_code = ResultCode::kStoreUnavailable;
-  error.m_message = "no peer reaches the store";
+  error.m_message = run == RunState::kUnknown
+                        ? "a peer may have sent the call to the store"
+                        : "no peer reaches the store";
   error.m_run = run;
   co_return tl::unexpected<Error>(error);
 }
--- a/standins/platform_store_standin.cc
+++ b/standins/platform_store_standin.cc
@@ -238,6 +238,8 @@
   if (!body.is_object()) {
     return StatusReply(400);
   }
+  const Millis late_by = LatenessOf(body);
+  SleepFor(late_by);
   absl::MutexLock lock(&m_mutex);
   ExpireLocked();
   bool applies = true;
@@ -270,6 +272,9 @@
   for (const json& key : body["remove"]) {
     RemoveLocked(key.get<std::string>());
   }
+  if (late_by > Millis()) {
+    return LostReply();
+  }
   if (m_faults.m_lose_replies > 0) {
     --m_faults.m_lose_replies;
     return LostReply();
@@ -277,6 +282,18 @@
   return JsonReply(200, {{"revision", m_revision}});
 }
 
+Millis PlatformStoreStandin::LatenessOf(const json& transaction) {
+  absl::MutexLock lock(&m_mutex);
+  for (const json& row : transaction["puts"]) {
+    if (!m_faults.m_late_key.empty() &&
+        row["key"].get<std::string>().find(m_faults.m_late_key) !=
+            std::string::npos) {
+      return m_faults.m_late_by;
+    }
+  }
+  return Millis();
+}
+
 HttpReply PlatformStoreStandin::HandleLease(const HttpRequest& request) {
   const json body = json::parse(request.m_body, nullptr, false);
   absl::MutexLock lock(&m_mutex);
--- a/standins/platform_store_standin.h
+++ b/standins/platform_store_standin.h
@@ -23,6 +23,10 @@
   bool m_refuse = false;  // every call is answered 503 and does nothing
   // Writes that take effect but whose reply is lost, from now on.
   int m_lose_replies = 0;
+  // Writes of keys with this in their name get no reply and take effect this
+  // much later, if their condition still holds; empty: none do.
+  std::string m_late_key;
+  Millis m_late_by;
   // Watches that start from now on, wait and never tell of an event.
   int m_deaf_watches = 0;
 };
@@ -70,6 +74,8 @@
   HttpReply HandleRange(const HttpRequest& request);
   HttpReply HandleWatch(const HttpRequest& request);
   HttpReply HandleTransaction(const HttpRequest& request);
+  // How much later the write takes effect; zero: at once.
+  Millis LatenessOf(const nlohmann::json& transaction);
   HttpReply HandleLease(const HttpRequest& request);
   HttpReply HandleKeep(const std::string& id);
   HttpReply HandleEnd(const std::string& id);
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -99,6 +99,39 @@
   CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() == 0);
 }
 
+// Guards against a refusal of a job that an earlier attempt still creates: one
+// peer's write for a VM gets no reply, and another peer is refused.
+TEST_CASE("a job that a relayed write may still create isn't refused") {
+  GatewayClusterOptions options;
+  options.m_vms = 3;
+  options.m_store_proxies = true;
+  GatewayCluster cluster(options);
+  ProxyFaults away;
+  away.m_refuse = true;
+  cluster.StoreProxy(0).SetFaults(away);
+  cluster.StoreProxy(0).CutAll();
+  SleepFor(Millis(1'000));
+  PlatformStoreFaults faults;
+  faults.m_late_key = "/job1/";
+  faults.m_late_by = Millis(6'000);
+  cluster.Store().SetFaults(faults);
+  int status = 0;
+  std::thread caller([&] {
+    GatewayRequest request = Submission("job1", 2, 0);
+    request.m_deadline_ms = 4'000;
+    status = cluster.Call(request).m_status;
+  });
+  SleepFor(Millis(500));
+  faults.m_refuse = true;
+  cluster.Store().SetFaults(faults);
+  caller.join();
+  cluster.Store().SetFaults(PlatformStoreFaults());
+  CHECK(WaitFor([&] { return cluster.Store().Count("bx/job/job1") > 0; },
+                Millis(10'000)));
+  CHECK(status != 503);
+  CHECK(status != 429);
+}
+
 TEST_CASE("a job goes on after its VM was killed, and results stay") {
   GatewayClusterOptions options;
   options.m_vms = 3;
