Let an owner confirm its jobs after a pause, and order claims by revision

Callers: after a freeze of one VM two acted as the owner of a job.

Cause: writes are fenced by the revision of the job's state, but what an owner does without a write wasn't: it started items and answered reads from memory. The other VMs took the one that had announced a job last for its owner.

Change: one rule for both. Announcements and claims carry the state's revision, and a claim never gives way to one with a lower revision; an owner that hears a higher one drops the job. Jobs whose owner must be read are a list of their own (m_unsettled) instead of a claim that names this VM; after a takeover with an unknown outcome they stay on it for 8 s, as long as the store may carry the write out, and so does a job for which a VM gets a call though it doesn't run it. A VM that ended a job in the store tells the owner until it replies. The layout of gossip messages changes to 5.

Looked for the same cause: submit and cancel (writes, fenced), take-over (above), relay (none), drain (releases are writes), quota owner (the lease is held by BootNow(); a paused owner has at most a burst, its successor starts empty), the daemon's job owner (each VM checks the record by epoch at each write and scan).

--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // Version of the message layout. Messages of another version are rejected.
-constexpr int kLayoutVersion = 4;
+constexpr int kLayoutVersion = 5;
 
 // Positions in the message, which is a MessagePack array. Lists of rows are
 // flat arrays that hold the rows one after another.
@@ -169,7 +169,8 @@
   }
   json jobs = json::array();
   for (const JobAnnouncement& job : gossip.m_jobs) {
-    jobs.insert(jobs.end(), {json(job.m_job), json(job.m_open)});
+    jobs.insert(jobs.end(),
+                {json(job.m_job), json(job.m_open), json(job.m_revision)});
   }
   json request_failures = json::array();
   for (const RequestFailures& entry : gossip.m_request_failures) {
@@ -293,12 +294,14 @@
   }
   gossip.m_part_crashes = *std::move(crashes);
   const json& jobs = message[kPosJobs];
-  for (size_t i = 0; i + 1 < jobs.size(); i += 2) {
-    if (!jobs[i].is_string() || !jobs[i + 1].is_boolean()) {
+  for (size_t i = 0; i + 2 < jobs.size(); i += 3) {
+    if (!jobs[i].is_string() || !jobs[i + 1].is_boolean() ||
+        !jobs[i + 2].is_number_integer()) {
       return std::nullopt;
     }
-    gossip.m_jobs.push_back(
-        {jobs[i].get<std::string>(), jobs[i + 1].get<bool>()});
+    gossip.m_jobs.push_back({jobs[i].get<std::string>(),
+                             jobs[i + 1].get<bool>(),
+                             jobs[i + 2].get<int64_t>()});
   }
   return gossip;
 }
--- a/packages/cluster/gossip_message.h
+++ b/packages/cluster/gossip_message.h
@@ -68,6 +68,8 @@
 struct JobAnnouncement {
   std::string m_job;
   bool m_open = true;
+  // Revision of the job's state by which the sender is its owner.
+  int64_t m_revision = 0;
 };
 
 // Number of upstream responses to one request that broke off at the sender. A
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -145,6 +145,7 @@
                                           ? 0
                                           : found->second.GetState().m_waiting;
                              },
+                             [this] { return m_hears_fleet; },
                              [this] { m_gossip.SendSoon(); },
                              m_node.m_settings.m_result_retention}),
       m_reload(std::move(reload)) {
@@ -354,6 +355,10 @@
     // of the latter.
     const bool is_counted =
         is_lease_held || (members > 1 && 2 * recently_seen > members);
+    // In a fleet whose gossip is too rare to show who is alive, jobs are taken
+    // over only after the end of their owner's registration.
+    m_hears_fleet = 2 * recently_seen > members ||
+                    (!IsGossipFrequent(members) && is_lease_held);
     counted_since =
         is_counted && counted_since == Millis() ? now : counted_since;
     const bool has_settled = counted_since != Millis() &&
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -65,6 +65,8 @@
   PeerCalls m_peer_calls;
   GossipExchange m_gossip;
   JobService m_jobs;
+  // Whether a takeover of this VM's work by another VM would be heard of.
+  bool m_hears_fleet = false;
   std::function<Result<GatewaySettings>()> m_reload;
   std::vector<std::unique_ptr<TcpListener>> m_listeners;
   std::unique_ptr<TcpListener> m_caller_listener;  // closed first in a drain
--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -27,8 +27,16 @@
 // Minimum time between two messages.
 constexpr Millis kMinInterval{20};
 
+Millis BriefInterval(int fleet_size) {
+  return std::max(kBriefInterval, kBriefIntervalPerVm * fleet_size);
+}
+
 }  // namespace
 
+bool IsGossipFrequent(int fleet_size) {
+  return BriefInterval(fleet_size) <= kRecentlySeenWindow;
+}
+
 Status GossipExchange::Open() {
   Result<std::unique_ptr<DatagramSocket>> socket = DatagramSocket::Open(
       m_node.m_settings.m_peers, [this](std::string_view bytes) {
@@ -92,8 +100,7 @@
   std::string brief;
   if (!cell.m_is_whole_fleet && now >= m_next_brief) {
     brief = EncodeGossip(GossipForOtherGroups(std::move(message)));
-    m_next_brief =
-        now + std::max(kBriefInterval, kBriefIntervalPerVm * cell.m_fleet_size);
+    m_next_brief = now + BriefInterval(cell.m_fleet_size);
   }
   for (auto entry = m_node.m_cluster.Peers().begin();
        entry != m_node.m_cluster.Peers().end(); ++entry) {
--- a/packages/gateway/gossip_exchange.h
+++ b/packages/gateway/gossip_exchange.h
@@ -11,6 +11,10 @@
 
 namespace bronzecross {
 
+// Whether the gossip of all VMs of a fleet arrives often enough to show which
+// of them are alive.
+bool IsGossipFrequent(int fleet_size);
+
 class GossipExchange {
  public:
   // `node` must outlive this object.
--- a/packages/gateway/job_calls.cc
+++ b/packages/gateway/job_calls.cc
@@ -28,6 +28,10 @@
 // within it whether it did, or the other VM can't refuse the call.
 constexpr Millis kForwardedCancelTime{1'800};
 
+// How long a VM tries to tell the owner of a job that the job was cancelled.
+// An owner that is cut off for longer reads the state of its jobs again.
+constexpr Millis kTellOwnerFor{10'000};
+
 constexpr int kOkStatus = 200;
 constexpr int kAccepted = 202;
 constexpr int kMisdirected = 421;
@@ -136,23 +140,30 @@
 }
 
 // Passes the end of a job that this VM wrote to the store on to the owner,
-// which would otherwise start items until its next write fails.
+// which would otherwise start items until its next write fails. Repeats this
+// until the owner replies, since it may be cut off for a while.
 Task<> TellOwnerOfEnd(Node& node,
                       platform::JobCall call,
                       std::string workspace) {
-  const std::string owner = node.m_jobs->OwnerOf(call.m_job);
+  const std::string job = call.m_job;
+  const std::string owner = node.m_jobs->OwnerOf(job);
   if (owner.empty() || owner == node.m_cluster.Self().m_id) {
     co_return;
   }
-  const std::string job = call.m_job;
-  const Result<CallerReply> told =
-      co_await ForwardCall(node, owner, std::move(call), std::move(workspace),
-                           Millis(), MonotonicNow() + kForwardTimeout);
+  const Millis until = MonotonicNow() + kTellOwnerFor;
+  std::string outcome = "time over";
+  while (MonotonicNow() < until && node.m_jobs->OwnerOf(job) == owner) {
+    const Result<CallerReply> told = co_await ForwardCall(
+        node, owner, call, workspace, kForwardedCancelTime, kNever);
+    if (told || told.error().m_code == ResultCode::kNotOwner) {
+      outcome = told ? Concat("status ", told->m_status) : "not the owner";
+      break;
+    }
+    outcome = told.error().m_message;
+    co_await Sleep(kForwardTimeout);
+  }
   Log(Severity::kInfo, LogPart::kBatch, "Told the owner of a job of its end.",
-      {{"job", job},
-       {"owner", owner},
-       {"outcome",
-        told ? Concat("status ", told->m_status) : told.error().m_message}});
+      {{"job", job}, {"owner", owner}, {"outcome", outcome}});
 }
 
 }  // namespace
@@ -255,6 +266,7 @@
           .value_or(0));
   if (call.m_kind == platform::JobCallKind::kNone ||
       !node.m_jobs->IsOwner(call.m_job)) {
+    node.m_jobs->CheckOwner(call.m_job);
     CallerReply reply;
     reply.m_status = kMisdirected;
     co_return reply;
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -70,6 +70,10 @@
                           : std::string(PickService(*route, ThreadRandom()));
 }
 
+bool ItemScheduler::MayStartItems(const Job& job) const {
+  return job.IsOpen() && !job.IsBeingCancelled() && m_ownership.IsCertain(job);
+}
+
 int ItemScheduler::CountWaitingItems(std::string_view service,
                                      bool& urgent) const {
   const Millis now = MonotonicNow();
@@ -78,8 +82,7 @@
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
        ++entry) {
     const Job& job = *entry->second;
-    if (!job.IsOpen() || job.IsBeingCancelled() ||
-        SelectServiceFor(job) != service) {
+    if (!MayStartItems(job) || SelectServiceFor(job) != service) {
       continue;
     }
     for (const ItemProgress& progress : job.m_progress) {
@@ -156,8 +159,7 @@
     for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
          ++entry) {
       const JobPtr& job = entry->second;
-      if (!job->IsOpen() || job->IsBeingCancelled() ||
-          SelectServiceFor(*job) != service) {
+      if (!MayStartItems(*job) || SelectServiceFor(*job) != service) {
         continue;
       }
       for (size_t i = 0; i < job->m_progress.size(); ++i) {
@@ -344,12 +346,7 @@
   // The job may have been taken back meanwhile, as another object.
   const auto found = m_table.m_jobs.find(job.m_spec.m_id);
   if (found != m_table.m_jobs.end() && found->second.get() == &job) {
-    // The claim makes the takeover read who owns the job now.
-    const VmRecord& self = m_dependencies.m_cluster.Self();
-    m_table.m_claims.Record(job.m_spec.m_id,
-                            JobClaim{.m_owner = self.m_id,
-                                     .m_owner_incarnation = self.m_incarnation,
-                                     .m_recorded = MonotonicNow()});
+    m_table.m_unsettled.emplace(job.m_spec.m_id, MonotonicNow());
     m_table.m_jobs.erase(found);
   }
 }
@@ -460,8 +457,34 @@
   m_table.m_claims.Expire(MonotonicNow(), m_dependencies.m_retention);
 }
 
+Task<> ItemScheduler::ConfirmTask(JobPtr job) {
+  const bool is_certain = co_await m_ownership.Confirm(job);
+  if (is_certain) {
+    m_work_changed.NotifyAll();
+  }
+}
+
+void ItemScheduler::ConfirmJobs() {
+  if (m_dependencies.m_kv.IsUnreachable()) {
+    return;
+  }
+  std::vector<JobPtr> uncertain;
+  for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
+       ++entry) {
+    const Job& job = *entry->second;
+    if (job.IsOpen() && !job.m_is_confirming && !m_ownership.IsCertain(job)) {
+      uncertain.push_back(entry->second);
+    }
+  }
+  for (const JobPtr& job : uncertain) {
+    Spawn(ConfirmTask(job));
+  }
+}
+
 Task<> ItemScheduler::Run() {
   for (;;) {
+    m_ownership.Update();
+    ConfirmJobs();
     StartCommits();
     UpdateUrgency();
     MoveItemsFromSlowUpstreams();
--- a/packages/jobs/item_scheduler.h
+++ b/packages/jobs/item_scheduler.h
@@ -11,6 +11,7 @@
 
 #include "jobs/item_order.h"
 #include "jobs/job_dependencies.h"
+#include "jobs/job_ownership.h"
 #include "jobs/job_store.h"
 #include "jobs/job_table.h"
 
@@ -24,7 +25,10 @@
   ItemScheduler(const JobDependencies& dependencies,
                 BatchJobStore& store,
                 JobTable& table)
-      : m_dependencies(dependencies), m_store(store), m_table(table) {}
+      : m_dependencies(dependencies),
+        m_store(store),
+        m_table(table),
+        m_ownership(dependencies, store, [this](Job& job) { Drop(job); }) {}
 
   // Runs until the process ends.
   Task<> Run();
@@ -42,6 +46,8 @@
   // cancelled elsewhere, and removes it from memory.
   void Drop(Job& job);
 
+  JobOwnership& Ownership() { return m_ownership; }
+
   // Starts no further items.
   void Drain() { m_draining = true; }
   // Cancels all runs, saves the partial outputs and releases the open jobs for
@@ -61,6 +67,11 @@
   // Abandons the waiting items if the route was removed or the time for which
   // the job is retained is over.
   void AbandonUnservableItems(Job& job);
+  // Whether items of the job may start.
+  bool MayStartItems(const Job& job) const;
+  Task<> ConfirmTask(JobPtr job);
+  // Confirms the ownership of the open jobs where it isn't certain.
+  void ConfirmJobs();
   // Starts the writes of results and partial outputs that are due.
   void StartCommits();
   void StartItemsAt(Upstream& upstream, std::string_view service, int count);
@@ -84,6 +95,7 @@
   const JobDependencies& m_dependencies;
   BatchJobStore& m_store;
   JobTable& m_table;
+  JobOwnership m_ownership;
   std::list<ItemRun> m_runs;
   std::vector<UpstreamPtr> m_with_urgent;  // upstreams with urgent items
   Condition m_work_changed;
--- a/packages/jobs/job.h
+++ b/packages/jobs/job.h
@@ -72,6 +72,13 @@
   bool m_dropped = false;
   // A write of the job is in progress. At most one runs at a time.
   bool m_is_committing = false;
+  // BootNow() at which this VM was last known to own the job; see
+  // job_ownership.h.
+  Millis m_confirmed;
+  // The ownership is being confirmed. If that failed, it is not tried again
+  // before m_next_confirmation.
+  bool m_is_confirming = false;
+  Millis m_next_confirmation;
   // Number of events of unfinished items at the last write of partial outputs.
   int64_t m_saved_events = 0;
   Millis m_last_commit;
--- a/packages/jobs/job_claims.cc
+++ b/packages/jobs/job_claims.cc
@@ -13,10 +13,11 @@
 
 }  // namespace
 
-JobClaim ClaimOf(const BatchJobState& state, Millis now) {
+JobClaim ClaimOf(const BatchJobState& state, int64_t revision, Millis now) {
   return JobClaim{.m_owner = state.m_owner,
                   .m_owner_incarnation = state.m_owner_incarnation,
                   .m_open = state.m_phase == JobPhase::kOpen,
+                  .m_revision = revision,
                   .m_recorded = now};
 }
 
@@ -29,6 +30,10 @@
 void JobClaims::Record(std::string_view job, JobClaim claim) {
   const auto [entry, is_new] = m_claims.try_emplace(std::string(job));
   JobClaim& known = entry->second;
+  if (claim.m_revision < known.m_revision) {
+    known.m_watched = known.m_watched || claim.m_watched;
+    return;
+  }
   if (!is_new) {
     claim.m_watched = claim.m_watched || known.m_watched;
   }
@@ -52,6 +57,7 @@
            JobClaim{.m_owner = gossip.m_sender.m_id,
                     .m_owner_incarnation = gossip.m_sender.m_incarnation,
                     .m_open = job.m_open,
+                    .m_revision = job.m_revision,
                     .m_recorded = now,
                     .m_announced = true});
   }
--- a/packages/jobs/job_claims.h
+++ b/packages/jobs/job_claims.h
@@ -21,6 +21,9 @@
   std::string m_owner;
   uint64_t m_owner_incarnation = 0;
   bool m_open = true;
+  // Revision of the job's state that shows this owner. A claim never gives way
+  // to one with a lower revision.
+  int64_t m_revision = 0;
   // Monotonic time at which this owner became known.
   Millis m_recorded;
   // The owner itself has announced the job. Before that it may not know that it
@@ -31,8 +34,9 @@
   bool m_watched = false;
 };
 
-// Returns the claim that the stored state of a job shows at the time `now`.
-JobClaim ClaimOf(const BatchJobState& state, Millis now);
+// Returns the claim that a job's state, stored at `revision`, shows at the time
+// `now`.
+JobClaim ClaimOf(const BatchJobState& state, int64_t revision, Millis now);
 
 // Returns true if the owner of the claim is alive but has had time to announce
 // the job and hasn't done so.
@@ -40,8 +44,8 @@
 
 class JobClaims {
  public:
-  // Adds or replaces a claim. What is known of the same owner is kept, and a
-  // watched job stays watched.
+  // Adds a claim, or replaces one with a lower or the same revision. What is
+  // known of the same owner is kept, and a watched job stays watched.
   void Record(std::string_view job, JobClaim claim);
   void Forget(std::string_view job);
   void OnGossip(const GossipMessage& gossip, Millis now);
--- a/packages/jobs/job_dependencies.h
+++ b/packages/jobs/job_dependencies.h
@@ -22,6 +22,9 @@
   // Returns the number of online requests of a service that wait for a slot, at
   // all VMs.
   std::function<int(std::string_view)> m_online_waiting;
+  // Returns whether a takeover by another VM would be heard of; see
+  // job_ownership.h.
+  std::function<bool()> m_hears_fleet;
   // Sends gossip to the other VMs at once, ahead of the regular interval.
   std::function<void()> m_send_gossip;
   // How long finished jobs are kept, counted from their submission.
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -222,47 +222,67 @@
   }
   if (*pending->m_outcome == WriteOutcome::kExists &&
       !m_table.Has(job->m_spec.m_id)) {
-    WatchJob(job->m_spec.m_id, job->m_state);
+    WatchJob(job->m_spec.m_id, job->m_state, job->m_state_revision);
   }
   co_return Status();
 }
 
-void JobService::WatchJob(std::string_view id, const BatchJobState& state) {
-  JobClaim claim = ClaimOf(state, MonotonicNow());
+void JobService::WatchJob(std::string_view id,
+                          const BatchJobState& state,
+                          int64_t revision) {
+  JobClaim claim = ClaimOf(state, revision, MonotonicNow());
   claim.m_watched = true;
   m_table.m_claims.Record(id, std::move(claim));
 }
 
 void JobService::Activate(JobPtr job) {
-  m_table.m_claims.Record(
-      job->m_spec.m_id,
-      JobClaim{
-          .m_owner = m_dependencies.m_cluster.Self().m_id,
-          .m_owner_incarnation = m_dependencies.m_cluster.Self().m_incarnation,
-          .m_recorded = MonotonicNow(),
-          .m_announced = true});
+  const VmRecord& self = m_dependencies.m_cluster.Self();
+  m_table.m_unsettled.erase(job->m_spec.m_id);
+  m_table.m_claims.Record(job->m_spec.m_id,
+                          JobClaim{.m_owner = self.m_id,
+                                   .m_owner_incarnation = self.m_incarnation,
+                                   .m_revision = job->m_state_revision,
+                                   .m_recorded = MonotonicNow(),
+                                   .m_announced = true});
   m_table.m_jobs[job->m_spec.m_id] = job;
   m_dependencies.m_send_gossip();
   m_scheduler.StartItems();
 }
 
+Task<JobPtr> JobService::FindOwned(std::string id) {
+  const auto found = m_table.m_jobs.find(id);
+  if (found == m_table.m_jobs.end()) {
+    co_return nullptr;
+  }
+  const JobPtr job = found->second;
+  // A closed job never changes.
+  if (!job->IsOpen() && !job->m_dropped) {
+    co_return job;
+  }
+  const bool is_own = co_await m_scheduler.Ownership().Confirm(job);
+  co_return is_own ? job : nullptr;
+}
+
 Task<Result<ResultPage>> JobService::Read(std::string id,
                                           std::string workspace,
                                           int64_t after,
                                           Millis wait_time) {
-  const auto found = m_table.m_jobs.find(id);
-  if (found != m_table.m_jobs.end()) {
-    const JobPtr job = found->second;
-    if (job->m_spec.m_workspace != workspace) {
-      co_return FailJobNotFound();
-    }
-    const Millis until = MonotonicNow() + wait_time;
+  const Millis until = MonotonicNow() + wait_time;
+  JobPtr job = co_await FindOwned(id);
+  if (job != nullptr && job->m_spec.m_workspace == workspace) {
     while (static_cast<int64_t>(job->m_listed.size()) <= after &&
            job->IsOpen() && MonotonicNow() < until) {
       WaitAny wait(until);
       wait.Add(job->m_changed);
       co_await wait;
     }
+    // The wait may have included a pause or the loss of the job.
+    job = co_await FindOwned(id);
+  }
+  if (job != nullptr) {
+    if (job->m_spec.m_workspace != workspace) {
+      co_return FailJobNotFound();
+    }
     co_return MakePage(job->m_state.m_total, job->m_listed, after);
   }
   const Result<StoredState> stored = co_await m_store.ReadState(id);
@@ -273,7 +293,7 @@
   if (state.m_workspace != workspace) {
     co_return FailJobNotFound();
   }
-  WatchJob(id, state);
+  WatchJob(id, state, stored->m_revision);
   if (state.m_listed <= after) {
     co_return MakePage(state.m_total, std::vector<JobResult>(), after);
   }
@@ -288,9 +308,9 @@
 Task<Result<std::string>> JobService::ReadBody(std::string id,
                                                std::string workspace,
                                                std::string item) {
-  const auto found = m_table.m_jobs.find(id);
-  if (found != m_table.m_jobs.end()) {
-    const Job& job = *found->second;
+  const JobPtr owned = co_await FindOwned(id);
+  if (owned != nullptr) {
+    const Job& job = *owned;
     if (job.m_spec.m_workspace != workspace || !job.IsOpen()) {
       co_return FailJobNotFound();
     }
@@ -384,11 +404,16 @@
   if (stored->m_state.m_workspace != workspace) {
     co_return FailJobNotFound();
   }
-  JobClaim claim = ClaimOf(stored->m_state, MonotonicNow());
+  JobClaim claim = ClaimOf(stored->m_state, stored->m_revision, MonotonicNow());
   Status cancelled;
   if (claim.m_open) {
-    cancelled = co_await m_store.CancelStored(id, *stored);
-    claim.m_open = !cancelled;
+    const Result<int64_t> revision = co_await m_store.CancelStored(id, *stored);
+    if (revision) {
+      claim.m_open = false;
+      claim.m_revision = *revision;
+    } else {
+      cancelled = tl::unexpected<Error>(revision.error());
+    }
   }
   m_table.m_claims.Record(id, std::move(claim));
   co_return cancelled;
@@ -427,9 +452,29 @@
 }
 
 void JobService::OnGossip(const GossipMessage& gossip, Millis now) {
+  for (const JobAnnouncement& announced : gossip.m_jobs) {
+    const auto found = m_table.m_jobs.find(announced.m_job);
+    if (found == m_table.m_jobs.end()) {
+      continue;
+    }
+    const JobPtr job = found->second;
+    if (job->IsOpen() && announced.m_revision > job->m_state_revision) {
+      Log(Severity::kInfo, LogPart::kBatch,
+          "Another VM has announced a job of this VM.",
+          {{"job", announced.m_job},
+           {"vm", gossip.m_sender.m_id},
+           {"revision", job->m_state_revision},
+           {"announced_revision", announced.m_revision}});
+      m_scheduler.Drop(*job);
+    }
+  }
   m_table.m_claims.OnGossip(gossip, now);
 }
 
+void JobService::CheckOwner(std::string_view id) {
+  m_table.m_unsettled.emplace(id, MonotonicNow());
+}
+
 void JobService::AddToGossip(GossipMessage& gossip, Millis now) {
   std::map<uint32_t, int64_t> tokens;
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
@@ -438,9 +483,9 @@
     if (job.IsOpen()) {
       tokens[RouteWorkspaceHash(job.m_spec.m_route, job.m_spec.m_workspace)] +=
           CountUnfinishedTokens(job);
-      gossip.m_jobs.push_back({entry->first, true});
+      gossip.m_jobs.push_back({entry->first, true, job.m_state_revision});
     } else if (now - job.m_closed_at < kAnnounceClosedFor) {
-      gossip.m_jobs.push_back({entry->first, false});
+      gossip.m_jobs.push_back({entry->first, false, job.m_state_revision});
     }
   }
   for (auto entry = tokens.begin(); entry != tokens.end(); ++entry) {
--- a/packages/jobs/job_service.h
+++ b/packages/jobs/job_service.h
@@ -39,6 +39,8 @@
 
   // Returns whether this VM has the job in memory.
   bool IsOwner(std::string_view id) const;
+  // Reads the owner of a job that another VM takes for a job of this one.
+  void CheckOwner(std::string_view id);
   // Returns the id of the last known owner of the job, or an empty string.
   std::string OwnerOf(std::string_view id) const;
 
@@ -61,7 +63,8 @@
   ItemScheduler& Scheduler() { return m_scheduler; }
   JobTakeover& Takeover() { return m_takeover; }
 
-  // Records the owners of jobs that another VM has announced.
+  // Records the owners of jobs that another VM has announced, and drops those
+  // of this VM that the other one has taken over since.
   void OnGossip(const GossipMessage& gossip, Millis now);
   // Adds the jobs of this VM, their waiting tokens and the waiting items.
   void AddToGossip(GossipMessage& gossip, Millis now);
@@ -81,8 +84,14 @@
   void OnCancelOutcome(Job& job);
   // Cancels a job that this VM does not have in memory.
   Task<Status> CancelRemote(std::string id, std::string workspace);
-  // Records the owner of a job that this VM has answered a caller about.
-  void WatchJob(std::string_view id, const BatchJobState& state);
+  // Records the owner of a job that this VM has answered a caller about, from
+  // the state that is stored at `revision`.
+  void WatchJob(std::string_view id,
+                const BatchJobState& state,
+                int64_t revision);
+  // Returns the job if this VM has it in memory and is certain that no other VM
+  // owns it; otherwise null.
+  Task<JobPtr> FindOwned(std::string id);
   // Adds a job that this VM now owns, announces it and starts its items.
   void Activate(JobPtr job);
   // Returns the tokens of unfinished items at all VMs, as far as known.
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -83,6 +83,7 @@
   transaction.m_puts.push_back(
       {JobStateKey(id), EncodeJobState(job.m_state), 0});
   transaction.m_puts.push_back({OpenJobKey(id), "1", 0});
+  job.m_confirmed = BootNow();
   const Result<KvOutcome> outcome =
       co_await m_kv.Transact(std::move(transaction));
   if (!outcome) {
@@ -120,6 +121,7 @@
   last.m_code = ResultCode::kStoreUnavailable;
   last.m_message = "no time was left to write the state of the job";
   while (MonotonicNow() < deadline) {
+    const Millis sent = BootNow();
     const Result<KvOutcome> outcome = co_await m_kv.Transact(transaction);
     if (!outcome) {
       const RunState earlier = last.m_run;
@@ -131,6 +133,7 @@
     if (outcome->m_applied) {
       job.m_state_revision = outcome->m_revision;
       job.m_state = std::move(next);
+      job.m_confirmed = sent;
       co_return WriteOutcome::kApplied;
     }
     const KvItem* current = FindItem(*outcome, key);
@@ -139,6 +142,7 @@
     if (stored && stored->m_write_id == next.m_write_id) {
       job.m_state_revision = current->m_revision;
       job.m_state = std::move(next);
+      job.m_confirmed = sent;
       co_return WriteOutcome::kApplied;
     }
     Log(Severity::kWarning, LogPart::kBatch,
@@ -258,7 +262,8 @@
   co_return results;
 }
 
-Task<Status> BatchJobStore::CancelStored(std::string id, StoredState stored) {
+Task<Result<int64_t>> BatchJobStore::CancelStored(std::string id,
+                                                  StoredState stored) {
   BatchJobState next = std::move(stored.m_state);
   next.m_phase = JobPhase::kCancelled;
   next.m_write_id = RandomId();
@@ -275,7 +280,7 @@
     co_return Fail(ResultCode::kConflict,
                    "the state of the job changed concurrently");
   }
-  co_return Status();
+  co_return outcome->m_revision;
 }
 
 Task<Result<JobSnapshot>> BatchJobStore::ReadSnapshot(std::string id) {
--- a/packages/jobs/job_store.h
+++ b/packages/jobs/job_store.h
@@ -69,9 +69,10 @@
   Task<Result<JobSpec>> ReadSpec(std::string id);
   // Returns all listed results in their order.
   Task<Result<std::vector<JobResult>>> ReadResults(std::string id);
-  // Marks a job that this VM does not own as cancelled. Fails with kConflict if
-  // its state changed after `stored` was read.
-  Task<Status> CancelStored(std::string id, StoredState stored);
+  // Marks a job that this VM does not own as cancelled. Returns the revision of
+  // the new state. Fails with kConflict if the state changed after `stored` was
+  // read.
+  Task<Result<int64_t>> CancelStored(std::string id, StoredState stored);
 
   // Reads the whole job, with one call unless it is large. Fails like
   // DecodeJobSnapshot().
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -1,5 +1,6 @@
 #include "jobs/job_takeover.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "aio/wait.h"
@@ -21,6 +22,9 @@
 // Key by which all VMs select the same VM for the scans of the fleet.
 constexpr std::string_view kScannerKey = "scan of open jobs";
 
+// Time within which the store may still carry out a write that got no reply.
+constexpr Millis kLateWriteTime{8'000};
+
 // Wait after the start before the list of live VMs counts as complete.
 constexpr Millis kMembershipSettleTime{700};
 
@@ -28,16 +32,19 @@
 
 Task<> JobTakeover::TakeOver(std::string id) {
   if (m_table.Has(id)) {
+    m_table.m_unsettled.erase(id);
     co_return;
   }
   Result<JobSnapshot> stored = co_await m_store.ReadSnapshot(id);
   if (!stored) {
     if (stored.error().m_code == ResultCode::kNotFound) {
       m_table.m_claims.Forget(id);
+      Settle(id, MonotonicNow());
     }
     co_return;
   }
   const BatchJobState state = stored->m_state.m_state;
+  const int64_t revision = stored->m_state.m_revision;
   const VmRecord& self = m_dependencies.m_cluster.Self();
   const Millis now = MonotonicNow();
   const bool is_open = state.m_phase == JobPhase::kOpen;
@@ -51,19 +58,19 @@
   if (!is_open || (!is_own && !is_forgotten &&
                    !m_dependencies.m_cluster.IsLost(
                        state.m_owner, state.m_owner_incarnation, now))) {
-    m_table.m_claims.Record(id, ClaimOf(state, now));
+    m_table.m_claims.Record(id, ClaimOf(state, revision, now));
+    Settle(id, now);
     co_return;
   }
   Result<JobPtr> job = co_await m_store.TakeOver(*std::move(stored));
   if (!job) {
     Log(Severity::kInfo, LogPart::kBatch, "Couldn't take over a job.",
         {{"job", id}, {"reason", job.error().m_message}});
-    // The write may have taken effect or may do so later. The claim makes this
-    // VM look again, as all others take it for the owner then.
-    m_table.m_claims.Record(id,
-                            JobClaim{.m_owner = self.m_id,
-                                     .m_owner_incarnation = self.m_incarnation,
-                                     .m_recorded = now});
+    // The write may still take effect, and all others would take this VM for
+    // the owner then.
+    m_table.m_unsettled[id] =
+        MonotonicNow() +
+        (job.error().m_run == RunState::kUnknown ? kLateWriteTime : Millis());
     co_return;
   }
   Log(Severity::kInfo, LogPart::kBatch, "Took over a job.",
@@ -76,6 +83,13 @@
   }
 }
 
+void JobTakeover::Settle(std::string_view id, Millis now) {
+  const auto found = m_table.m_unsettled.find(id);
+  if (found != m_table.m_unsettled.end() && found->second <= now) {
+    m_table.m_unsettled.erase(found);
+  }
+}
+
 bool JobTakeover::IsScanner(Millis now) const {
   return m_dependencies.m_cluster.FirstResponsiveVmFor(kScannerKey, now) ==
          m_dependencies.m_cluster.Self().m_id;
@@ -123,8 +137,14 @@
     std::vector<std::string> orphans = m_table.m_claims.FindOrphans(
         m_dependencies.m_cluster, now, [this, now] { return IsScanner(now); },
         [this](std::string_view id) { return m_table.Has(id); });
+    for (auto entry = m_table.m_unsettled.begin();
+         entry != m_table.m_unsettled.end(); ++entry) {
+      orphans.push_back(entry->first);
+    }
     const std::vector<std::string> found = co_await Scan(now);
     orphans.insert(orphans.end(), found.begin(), found.end());
+    std::sort(orphans.begin(), orphans.end());
+    orphans.erase(std::unique(orphans.begin(), orphans.end()), orphans.end());
     for (const std::string& id : orphans) {
       if (!m_draining) {
         co_await TakeOver(id);
--- a/packages/jobs/job_takeover.h
+++ b/packages/jobs/job_takeover.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "jobs/job_dependencies.h"
@@ -34,6 +35,8 @@
  private:
   // Takes over a job if it is open and has no live owner.
   Task<> TakeOver(std::string id);
+  // Ends the repeated reads of a job's owner if their time is over.
+  void Settle(std::string_view id, Millis now);
   // Returns whether this VM scans the store for open jobs on behalf of the
   // fleet.
   bool IsScanner(Millis now) const;
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -7,6 +7,7 @@
 #include "jobs/item_run.h"
 #include "jobs/job.h"
 #include "jobs/job_claims.h"
+#include "jobs/job_ownership.h"
 #include "jobs/job_record.h"
 #include "jobs/job_store.h"
 
@@ -222,10 +223,10 @@
   ClusterView a(self);
   a.OnEvent(ListedVm("b"));
   JobClaims claims;
-  claims.Record("taken-over", {"a", 2, true, Millis(1)});
-  claims.Record("running", {"a", 2, true, Millis(1)});
-  claims.Record("done", {"a", 2, false, Millis(1)});
-  claims.Record("elsewhere", {"b", 1, true, Millis(1)});
+  claims.Record("taken-over", {"a", 2, true, 0, Millis(1)});
+  claims.Record("running", {"a", 2, true, 0, Millis(1)});
+  claims.Record("done", {"a", 2, false, 0, Millis(1)});
+  claims.Record("elsewhere", {"b", 1, true, 0, Millis(1)});
   const std::vector<std::string> orphans =
       claims.FindOrphans(a, Millis(1), IsNoScanner,
                          [](std::string_view id) { return id == "running"; });
@@ -245,8 +246,8 @@
   }
   JobClaims claims;
   for (int i = 0; i < 50; ++i) {
-    claims.Record("open-" + std::to_string(i), {"c", 1, true, Millis(1)});
-    claims.Record("done-" + std::to_string(i), {"c", 1, false, Millis(1)});
+    claims.Record("open-" + std::to_string(i), {"c", 1, true, 0, Millis(1)});
+    claims.Record("done-" + std::to_string(i), {"c", 1, false, 0, Millis(1)});
   }
   CHECK(claims.FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere).empty());
   KvEvent removed = ListedVm("c");
@@ -292,7 +293,7 @@
   int left_to_b = 0;
   for (int i = 0; i < 20; ++i) {
     const std::string job = "job-" + std::to_string(i);
-    JobClaim claim = {"lost", 1, true, Millis(1)};
+    JobClaim claim = {"lost", 1, true, 0, Millis(1)};
     claims.Record(job, claim);
     left_to_b += a.FirstResponsiveVmFor(job, Millis(1)) == "b" ? 1 : 0;
   }
@@ -306,7 +307,7 @@
   CHECK(count(false) == static_cast<size_t>(20 - left_to_b));
   CHECK(count(true) == 20);
   for (int i = 0; i < 20; ++i) {
-    JobClaim claim = {"lost", 1, true, Millis(2)};
+    JobClaim claim = {"lost", 1, true, 0, Millis(2)};
     claim.m_watched = true;
     claims.Record("job-" + std::to_string(i), claim);
   }
@@ -320,7 +321,7 @@
   self.m_incarnation = 1;
   ClusterView a(self);
   JobClaims claims;
-  JobClaim claim = {"b", 1, true, Millis(1'000)};
+  JobClaim claim = {"b", 1, true, 0, Millis(1'000)};
   claim.m_watched = true;
   claims.Record("forgotten", claim);
   claims.Record("announced", claim);
@@ -339,6 +340,48 @@
   CHECK(hear(3, 4'100) == std::vector<std::string>{"forgotten"});
 }
 
+// Guards against VMs that take the one that announced a job last for its owner,
+// although another one has taken it over since.
+TEST_CASE("an outdated announcement doesn't replace the owner of a job") {
+  JobClaims claims;
+  claims.Record("j", {"new", 1, true, 7, Millis(1)});
+  GossipMessage gossip = Announcement("old", 1, {"j"});
+  gossip.m_jobs[0].m_revision = 5;
+  claims.OnGossip(gossip, Millis(2));
+  CHECK(claims.Find("j")->m_owner == "new");
+  gossip.m_jobs[0].m_revision = 9;
+  claims.OnGossip(gossip, Millis(3));
+  CHECK(claims.Find("j")->m_owner == "old");
+}
+
+// Guards against an owner that acts on what it knew before a pause or a loss of
+// contact, when another VM may have taken its jobs over.
+TEST_CASE("ownership is uncertain after a pause until it is confirmed") {
+  FleetContact contact;
+  for (int64_t now = 1'000; now <= 5'000; now += 100) {
+    UpdateContact(contact, true, Millis(now));
+  }
+  const Millis confirmed(1'200);
+  CHECK(IsOwnershipCertain(contact, confirmed, Millis(5'100)));
+  // Paused: even before the next check.
+  CHECK_FALSE(IsOwnershipCertain(contact, confirmed, Millis(9'000)));
+  UpdateContact(contact, true, Millis(9'000));
+  CHECK_FALSE(IsOwnershipCertain(contact, confirmed, Millis(9'100)));
+  CHECK(IsOwnershipCertain(contact, Millis(9'050), Millis(9'100)));
+}
+
+TEST_CASE("ownership without contact holds briefly after a confirmation") {
+  FleetContact contact;
+  UpdateContact(contact, true, Millis(1'000));
+  UpdateContact(contact, false, Millis(1'100));
+  CHECK_FALSE(IsOwnershipCertain(contact, Millis(0), Millis(1'150)));
+  CHECK(IsOwnershipCertain(contact, Millis(1'050), Millis(1'900)));
+  UpdateContact(contact, false, Millis(2'000));
+  CHECK_FALSE(IsOwnershipCertain(contact, Millis(1'050), Millis(2'100)));
+  UpdateContact(contact, true, Millis(2'100));
+  CHECK_FALSE(IsOwnershipCertain(contact, Millis(1'050), Millis(2'150)));
+}
+
 ItemEstimate MakeEstimate(int64_t until_due, int64_t expected, int64_t done) {
   ItemEstimate estimate;
   estimate.m_until_due = Millis(until_due);
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -313,6 +313,84 @@
   CHECK(cluster.Call(end).m_status == 200);
 }
 
+GatewayRequest ReadOf(const std::string& job, int vm) {
+  GatewayRequest read;
+  read.m_vm = vm;
+  read.m_method = "GET";
+  read.m_target = PlatformResultsPath(job);
+  read.m_body = "";
+  return read;
+}
+
+// Sets the same faults at all engines.
+void SetEngineFaults(GatewayCluster& cluster,
+                     const PlatformReplicaFaults& faults) {
+  for (int i = 0; i < cluster.EngineCount(); ++i) {
+    cluster.Engine(static_cast<size_t>(i)).SetFaults(faults);
+  }
+}
+
+size_t CountRunsOf(GatewayCluster& cluster, const std::string& job) {
+  size_t runs = 0;
+  for (int i = 0; i < cluster.EngineCount(); ++i) {
+    for (const ReplicaRun& run :
+         cluster.Engine(static_cast<size_t>(i)).Runs()) {
+      runs += run.m_request_id.starts_with(job) ? 1 : 0;
+    }
+  }
+  return runs;
+}
+
+// Guards against two VMs that act as the owner of one job: the first one is
+// paused while its items wait, and another one takes the job over meanwhile.
+TEST_CASE("a VM that goes on after a pause gives up the jobs it has lost") {
+  GatewayClusterOptions options;
+  options.m_vms = 4;
+  GatewayCluster cluster(options);
+  PlatformReplicaFaults full;
+  full.m_refuse = true;
+  SetEngineFaults(cluster, full);
+  CHECK(cluster.Call(Submission("done", 1, 0)).m_status == 202);
+  CHECK(cluster.Call(Submission("ended", 2, 0)).m_status == 202);
+  SleepFor(Millis(300));
+  cluster.Vm(0).Signal(SIGSTOP);
+  const auto count_takeovers = [&] {
+    int count = 0;
+    for (size_t vm = 1; vm < 4; ++vm) {
+      const std::string log = cluster.LogOf(vm);
+      for (size_t at = log.find("Took over a job"); at != std::string::npos;
+           at = log.find("Took over a job", at + 1)) {
+        ++count;
+      }
+    }
+    return count;
+  };
+  CHECK(WaitFor([&] { return count_takeovers() >= 2; }, kJobTimeout));
+  GatewayRequest end;
+  end.m_vm = 1;
+  end.m_method = "DELETE";
+  end.m_target = PlatformJobPath("ended");
+  end.m_body = "";
+  CHECK(cluster.Call(end).m_status == 200);
+  SetEngineFaults(cluster, PlatformReplicaFaults());
+  CheckResults(cluster.WaitForResults(2, "done", kJobTimeout), "done", 1, 5);
+  SetEngineFaults(cluster, full);
+  const size_t runs_of_ended = CountRunsOf(cluster, "ended");
+  cluster.Vm(0).Signal(SIGCONT);
+  const Millis until = MonotonicNow() + Millis(3'000);
+  int missing = 0;
+  for (int read = 0; MonotonicNow() < until; ++read) {
+    const HttpAnswer answer = cluster.Call(ReadOf("done", 1 + read % 3));
+    const json page = json::parse(answer.m_body, nullptr, false);
+    missing += answer.m_status == 200 && page.value("next", 0) == 0 ? 1 : 0;
+    SleepFor(Millis(50));
+  }
+  CHECK(missing == 0);
+  SetEngineFaults(cluster, PlatformReplicaFaults());
+  SleepFor(Millis(1'500));
+  CHECK(CountRunsOf(cluster, "ended") == runs_of_ended);
+}
+
 TEST_CASE("bodies can be read until their item is listed") {
   GatewayClusterOptions options;
   options.m_engine.m_events = 100;
