Send nothing more to an upstream that says it is leaving

Replicas say in the header Server-Leaving of their answers that they are leaving, and so before, or without, a word in the store. Until now only the list of upstreams was looked at, so callers' requests went on to such a replica.

The first response that carries it, also a refusal or one to a batch item, stops all new requests of this VM to that incarnation: placement, retries, resumed streams, batch items, and its kept connections are closed. The mark belongs to the start time of the upstream, so one that registers again with the same start stays marked, and a new start lifts it.

--- a/packages/dispatch/upstream.cc
+++ b/packages/dispatch/upstream.cc
@@ -1,5 +1,6 @@
 #include "dispatch/upstream.h"
 
+#include "base/log.h"
 #include "cluster/gossip_message.h"
 
 namespace bronzecross {
@@ -15,6 +16,17 @@
       m_hash(ShortHash(m_entry.m_id)),
       m_pool(m_entry.m_address, kIdleConnection) {}
 
+void MarkLeaving(Upstream& upstream) {
+  if (upstream.m_leaving) {
+    return;
+  }
+  upstream.m_leaving = true;
+  upstream.m_pool.Clear();
+  Log(Severity::kInfo, LogPart::kUpstreams,
+      "An upstream says that it is leaving.",
+      {{"upstream", upstream.m_entry.m_id}});
+}
+
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events) {
   if (events == 0) {
     return;
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -26,6 +26,9 @@
   uint32_t m_hash;  // ShortHash of the id
   // No longer registered, so it receives no new requests.
   bool m_deregistered = false;
+  // A response said that it is about to stop. This holds for the rest of the
+  // incarnation, whatever its registration says.
+  bool m_leaving = false;
   // Whether this VM's group prefers it (upstream_subset.h).
   bool m_in_subset = true;
 
@@ -47,11 +50,16 @@
   int Online() const { return m_online + m_peer_online; }
   int Batch() const { return m_batch + m_peer_batch; }
   int Urgent() const { return m_urgent + m_peer_urgent; }
-  bool TakesRequests() const { return !m_deregistered && !m_entry.m_draining; }
+  bool TakesRequests() const {
+    return !m_deregistered && !m_leaving && !m_entry.m_draining;
+  }
 };
 
 using UpstreamPtr = std::shared_ptr<Upstream>;
 
+// Stops new requests to an upstream whose response says that it is leaving.
+void MarkLeaving(Upstream& upstream);
+
 // Adds the arrival of `events` events of one stream to the pace of `upstream`.
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events);
 // Adds the time of one request that isn't streamed. Ignored if the upstream
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -147,6 +147,9 @@
     }
     if (parsed != ParseState::kHead) {
       m_fields = platform::DecodeUpstreamFields(Head());
+      if (m_fields.m_leaving) {
+        MarkLeaving(*m_upstream);
+      }
       const bool is_interim = Head().m_status < kFirstSuccess;
       if (!is_interim && !IsStrayResponse(request.m_request_id)) {
         co_return CheckHead(request.m_request_id);
@@ -274,7 +277,7 @@
 }
 
 void UpstreamCall::Finish() {
-  if (m_connection == nullptr || !IsComplete()) {
+  if (m_connection == nullptr || !IsComplete() || m_upstream->m_leaving) {
     return;
   }
   if (m_fields.m_keep_alive) {
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -7,6 +7,13 @@
 #include "platform/upstream_entry.h"
 
 namespace bronzecross {
+namespace {
+
+// How long an incarnation that was leaving is remembered after its registration
+// has ended. It stops within seconds, or at times within a minute.
+constexpr Millis kLeftRetention{600'000};
+
+}  // namespace
 
 const std::vector<UpstreamPtr>& UpstreamTable::OfService(
     std::string_view service) const {
@@ -71,9 +78,25 @@
     return;
   }
   if (upstream != nullptr) {
-    upstream->m_deregistered = true;
+    Deregister(*upstream);
   }
   upstream = std::make_shared<Upstream>(*std::move(entry));
+  const auto left = m_left.find(id);
+  upstream->m_leaving = left != m_left.end() &&
+                        left->second.m_started == upstream->m_entry.m_started;
+}
+
+void UpstreamTable::Deregister(Upstream& upstream) {
+  upstream.m_deregistered = true;
+  if (!upstream.m_leaving) {
+    return;
+  }
+  const Millis now = MonotonicNow();
+  absl::erase_if(m_left, [now](const auto& entry) {
+    return entry.second.m_forget_at < now;
+  });
+  m_left[upstream.m_entry.m_id] = {upstream.m_entry.m_started,
+                                   now + kLeftRetention};
 }
 
 void UpstreamTable::Drop(const std::string& id) {
@@ -81,7 +104,7 @@
   if (found == m_by_id.end()) {
     return;
   }
-  found->second->m_deregistered = true;
+  Deregister(*found->second);
   found->second->m_pool.Clear();
   m_by_id.erase(found);
   Log(Severity::kInfo, LogPart::kUpstreams, "An upstream is gone.",
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -50,6 +50,9 @@
 
  private:
   void Put(const KvItem& item);
+  // Marks an upstream as no longer registered. If its incarnation registers
+  // again, it is still leaving if it was before.
+  void Deregister(Upstream& upstream);
   void Remove(std::string_view id, bool may_reregister);
   void Drop(const std::string& id);
   void Index();
@@ -71,6 +74,13 @@
   // Entries that expired around an outage of the store, and when they are
   // removed.
   std::map<std::string, Millis, std::less<>> m_postponed;
+  // Incarnations that were leaving when their registration ended, by the id of
+  // the upstream.
+  struct LeftUpstream {
+    Millis m_started;    // of the incarnation; Unix time
+    Millis m_forget_at;  // monotonic time
+  };
+  absl::flat_hash_map<std::string, LeftUpstream> m_left;
   Condition m_changed;
 };
 
--- a/standins/platform_replica_standin.cc
+++ b/standins/platform_replica_standin.cc
@@ -15,10 +15,11 @@
 
 constexpr std::string_view kSignature = "Server-Stamp";
 
-HttpReply NotRun(int status) {
+HttpReply NotRun(int status, const std::string& id) {
   HttpReply reply;
   reply.m_status = status;
   reply.m_headers.push_back({"Not-Run", "1"});
+  reply.m_headers.push_back({"Request-Id", id});
   return reply;
 }
 
@@ -66,10 +67,15 @@
   entry["state"] = state;
   entry["coldLeftMs"] = 0;
   entry["callSeq"] = 1;
-  entry["born"] = 1;
+  entry["born"] = m_born.count();
   m_store.Put(EntryKey(m_options.m_id), entry.dump());
 }
 
+void PlatformReplicaStandin::RegisterAsStarted(Millis born) {
+  m_born = born;
+  Register("ready");
+}
+
 void PlatformReplicaStandin::Unregister() {
   m_store.Remove(EntryKey(m_options.m_id));
 }
@@ -131,6 +137,16 @@
 }
 
 HttpReply PlatformReplicaStandin::Handle(HttpRequest& request) {
+  ++m_requests;
+  HttpReply reply = Answer(request);
+  absl::MutexLock lock(&m_mutex);
+  if (m_faults.m_leaving) {
+    reply.m_headers.push_back({"Server-Leaving", "1"});
+  }
+  return reply;
+}
+
+HttpReply PlatformReplicaStandin::Answer(HttpRequest& request) {
   const std::string id = HeaderOf(request, "Request-Id");
   PlatformReplicaFaults faults;
   bool cut = false;
@@ -139,14 +155,14 @@
     faults = m_faults;
   }
   if (id.empty()) {
-    return NotRun(400);
+    return NotRun(400, id);
   }
   const std::string expected = HeaderOf(request, "Expect-Instance");
   if (!expected.empty() && expected != m_options.m_id) {
-    return NotRun(421);
+    return NotRun(421, id);
   }
   if (faults.m_refuse) {
-    return NotRun(503);
+    return NotRun(503, id);
   }
   ReplicaRun run;
   run.m_at = MonotonicNow();
--- a/standins/platform_replica_standin.h
+++ b/standins/platform_replica_standin.h
@@ -5,6 +5,7 @@
 #ifndef BRONZECROSS_STANDINS_PLATFORM_REPLICA_STANDIN_H_
 #define BRONZECROSS_STANDINS_PLATFORM_REPLICA_STANDIN_H_
 
+#include <atomic>
 #include <map>
 #include <string>
 #include <string_view>
@@ -33,6 +34,7 @@
   int m_fail_status = 0;          // answers have this status
   bool m_silent = false;          // requests get no answer for some seconds
   int m_slow_factor = 1;          // of the gap between events
+  bool m_leaving = false;         // all answers say that it is leaving
   // A request with this in its prompt ends the replica as a crash does, before
   // the first event; empty: none does.
   std::string m_crashing_part;
@@ -60,6 +62,8 @@
   void SetFaults(const PlatformReplicaFaults& faults);
   // Writes its entry with the given state.
   void Register(std::string_view state);
+  // Writes the entry that it has after a start at the Unix time `born`.
+  void RegisterAsStarted(Millis born);
   void Unregister();
   // From the next Register() on its entry names `address`, as of a proxy.
   void SetListedAddress(const NetAddress& address) { m_listed = address; }
@@ -68,6 +72,8 @@
   void Crash();
 
   std::vector<ReplicaRun> Runs();
+  // Number of requests that have arrived, also those that weren't run.
+  int64_t Requests() const { return m_requests; }
 
   // The data of event `index`, counted from 1, of a request's stream.
   static std::string EventData(std::string_view request_id, int64_t index);
@@ -80,6 +86,7 @@
 
  private:
   HttpReply Handle(HttpRequest& request);
+  HttpReply Answer(HttpRequest& request);
   int SlowFactor();
   HttpReply Stream(const HttpRequest& request,
                    const std::string& id,
@@ -90,7 +97,9 @@
   PlatformStoreStandin& m_store;
   const PlatformReplicaOptions m_options;
   NetAddress m_listed;  // without a port: its own
+  Millis m_born{1};
   absl::Mutex m_mutex;
+  std::atomic<int64_t> m_requests = 0;
   bool m_is_crashed ABSL_GUARDED_BY(m_mutex) = false;
   PlatformReplicaFaults m_faults ABSL_GUARDED_BY(m_mutex);
   std::vector<ReplicaRun> m_runs ABSL_GUARDED_BY(m_mutex);
