Skip odd entries of upstreams without harm to the others

Reported by other operators: one odd entry among those of the replicas ended the processes that read the list, or they stopped following it.

Daemon: an upstream entry of another type made the whole list of VMs invalid, so it was no longer followed; copying the entries recursed for each level of nesting; a port was cut to 16 bits. Odd entries of upstreams are skipped now. A list with an odd VM is still rejected whole, as limits depend on the number of VMs. A number too large for a double makes the whole document unreadable for the parser; that is left.

--- a/packages/membership/vm_list.cc
+++ b/packages/membership/vm_list.cc
@@ -1,5 +1,8 @@
 #include "membership/vm_list.h"
 
+#include <cstdint>
+#include <optional>
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -8,16 +11,37 @@
 
 using nlohmann::json;
 
-VmListEntry ToEntry(const json& vm) {
+Result<VmListEntry> ToEntry(const json& vm) {
   VmListEntry entry;
   vm.at("id").get_to(entry.m_id);
   vm.at("address").get_to(entry.m_address);
-  vm.at("peer_port").get_to(entry.m_peer_port);
+  const json& port = vm.at("peer_port");
+  if (!port.is_number_unsigned() || port.get<uint64_t>() > UINT16_MAX) {
+    return Fail(
+        ResultCode::kMalformedBody,
+        absl::StrCat("the VM list has an invalid port of ", entry.m_id));
+  }
+  port.get_to(entry.m_peer_port);
   entry.m_zone = vm.value("zone", "");
   entry.m_leaving = vm.value("state", "live") == "leaving";
   return entry;
 }
 
+// Returns the name of the upstream if the entry says that it is leaving. An
+// entry that can't be read names no upstream.
+std::optional<std::string> LeavingUpstream(const json& entry) {
+  if (!entry.is_object()) {
+    return std::nullopt;
+  }
+  const auto id = entry.find("id");
+  const auto state = entry.find("state");
+  if (id == entry.end() || !id->is_string() || state == entry.end() ||
+      !state->is_string() || state->get<std::string>() != "leaving") {
+    return std::nullopt;
+  }
+  return id->get<std::string>();
+}
+
 }  // namespace
 
 Result<VmList> ParseVmList(std::string_view text) {
@@ -25,11 +49,20 @@
   try {
     const json document = json::parse(text);
     for (const json& vm : document.at("vms")) {
-      list.m_vms.push_back(ToEntry(vm));
+      Result<VmListEntry> entry = ToEntry(vm);
+      if (!entry) {
+        return tl::unexpected<Error>(entry.error());
+      }
+      list.m_vms.push_back(*std::move(entry));
     }
-    for (const json& upstream : document.value("upstreams", json::array())) {
-      if (upstream.value("state", "live") == "leaving") {
-        list.m_leaving_upstreams.push_back(upstream.at("id"));
+    // Copying the document recurses for each level of nesting.
+    const auto upstreams = document.find("upstreams");
+    if (upstreams != document.end() && upstreams->is_array()) {
+      for (const json& upstream : *upstreams) {
+        std::optional<std::string> leaving = LeavingUpstream(upstream);
+        if (leaving) {
+          list.m_leaving_upstreams.push_back(*std::move(leaving));
+        }
       }
     }
   } catch (const json::exception& error) {
--- a/packages/membership/vm_list.h
+++ b/packages/membership/vm_list.h
@@ -27,8 +27,9 @@
 };
 
 // Parses {"vms":[{"id","address","peer_port","zone","state"}],
-// "upstreams":[{"id","state"}]}. Fails with kMalformedBody if any entry is
-// invalid; entries are never skipped.
+// "upstreams":[{"id","state"}]}. Fails with kMalformedBody if the entry of any
+// VM is invalid: limits depend on their number. Invalid entries of upstreams
+// are skipped.
 Result<VmList> ParseVmList(std::string_view text);
 
 Result<VmList> FetchVmList(HttpClient& client,
