Believe a failure without an id only on a fresh connection

Reported by other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran.

Cause: UpstreamCall skips responses whose Request-Id is another one, but a failure or refusal without an id counted as the answer to the present request.

Change: on a connection that has carried an exchange, and after a skipped response, a response must carry the id of the request; otherwise the call is broken, and a request that may run once gets 502.

--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -104,11 +104,17 @@
   return !m_fields.m_request_id.empty() && m_fields.m_request_id != request_id;
 }
 
-CallState UpstreamCall::CheckHead(std::string_view request_id) {
+CallState UpstreamCall::CheckHead(std::string_view request_id,
+                                  bool may_be_stray) {
   const int status = Head().m_status;
   const bool is_success = status >= kFirstSuccess && status < kFirstRedirect;
-  if (is_success && (!m_fields.m_signed || m_fields.m_encoded ||
-                     m_fields.m_request_id != request_id)) {
+  const bool is_matched = m_fields.m_request_id == request_id;
+  // A failure without an id may be a late one of an earlier request. Taken for
+  // that of this request, it would be passed to the wrong caller, or a request
+  // that runs would count as not run.
+  if ((is_success &&
+       (!m_fields.m_signed || m_fields.m_encoded || !is_matched)) ||
+      (!is_matched && may_be_stray)) {
     Log(Severity::kWarning, LogPart::kUpstreams, "A response was invalid.",
         {{"upstream", m_upstream->m_entry.m_id},
          {"request", request_id},
@@ -152,7 +158,8 @@
       }
       const bool is_interim = Head().m_status < kFirstSuccess;
       if (!is_interim && !IsStrayResponse(request.m_request_id)) {
-        co_return CheckHead(request.m_request_id);
+        co_return CheckHead(request.m_request_id,
+                            m_connection->m_is_reused || stray_responses > 0);
       }
       // The rest of an interim or stray response is read and discarded.
       discarded_bytes += m_connection->Parser().Body().size();
--- a/packages/dispatch/upstream_call.h
+++ b/packages/dispatch/upstream_call.h
@@ -72,7 +72,10 @@
  private:
   Task<CallState> Connect(Millis deadline);
   Task<CallState> WaitForHead(UpstreamRequest request);
-  CallState CheckHead(std::string_view request_id);
+  // Checks the head of a response that isn't known to be a stray one.
+  // `may_be_stray`: whether the upstream may owe responses to other requests on
+  // this connection.
+  CallState CheckHead(std::string_view request_id, bool may_be_stray);
   // Prepares the parser for the response to a request with `method`.
   void ExpectResponseTo(std::string_view method);
   bool IsStrayResponse(std::string_view request_id) const;
--- a/packages/http1/connection_pool.cc
+++ b/packages/http1/connection_pool.cc
@@ -43,6 +43,7 @@
   }
   connection->StartNextMessage();
   connection->m_idle_until = idle_until;
+  connection->m_is_reused = true;
   m_idle.push_back(std::move(connection));
 }
 
--- a/packages/http1/http_connection.h
+++ b/packages/http1/http_connection.h
@@ -57,9 +57,10 @@
   // body is longer than `limit` bytes.
   Task<bool> ReadBody(Millis deadline, size_t limit);
 
-  // Time from which the peer may close the idle connection; used by
-  // ConnectionPool.
+  // Set by ConnectionPool: the time from which the peer may close the idle
+  // connection, and whether an exchange was completed on the connection.
   Millis m_idle_until;
+  bool m_is_reused = false;
 
  private:
   Task<bool> WaitReadable(Millis deadline);
--- a/standins/raw_replica_standin.cc
+++ b/standins/raw_replica_standin.cc
@@ -32,10 +32,12 @@
   return std::string(rest.substr(0, rest.find('\r')));
 }
 
-std::string Replace(std::string text, const std::string& id) {
-  for (size_t at = text.find("{id}"); at != std::string::npos;
-       at = text.find("{id}", at + id.size())) {
-    text.replace(at, 4, id);
+std::string Replace(std::string text,
+                    std::string_view mark,
+                    const std::string& id) {
+  for (size_t at = text.find(mark); at != std::string::npos;
+       at = text.find(mark, at + id.size())) {
+    text.replace(at, mark.size(), id);
   }
   return text;
 }
@@ -90,6 +92,7 @@
   std::string to_send;
   size_t sent_bytes = 0;
   bool has_request = false;
+  std::string first_id;
   std::array<char, 4096> buffer;
   while (!m_stopped) {
     const bool is_sending = !to_send.empty();
@@ -106,7 +109,11 @@
       if (!id.empty()) {
         has_request = true;
         ++m_requests;
-        to_send = Replace(m_script.m_begin, id);
+        m_later_requests += first_id.empty() ? 0 : 1;
+        to_send = Replace(
+            first_id.empty() ? m_script.m_begin : m_script.m_later, "{id}", id);
+        to_send = Replace(to_send, "{first}", first_id);
+        first_id = first_id.empty() ? id : first_id;
       }
     }
     if (has_request && to_send.empty()) {
@@ -132,6 +139,10 @@
       sent_bytes += static_cast<size_t>(sent);
     }
     if (sent_bytes == to_send.size()) {
+      if (has_request && sent_bytes > 0 && !m_script.m_later.empty()) {
+        has_request = false;
+        received.clear();
+      }
       to_send.clear();
       sent_bytes = 0;
     }
--- a/standins/raw_replica_standin.h
+++ b/standins/raw_replica_standin.h
@@ -17,6 +17,9 @@
 struct RawReplicaScript {
   // Sent once after a request. "{id}" stands for the request's id.
   std::string m_begin;
+  // Sent after each further request on a connection; "{first}" stands for the
+  // id of the first one. Empty: further requests are not read.
+  std::string m_later;
   // Sent again and again after that, until the caller closes; empty: nothing.
   std::string m_repeated;
   // Pause before each repetition.
@@ -35,6 +38,8 @@
 
   const NetAddress& Address() const { return m_address; }
   int Requests() const { return m_requests; }
+  // Number of requests on connections that had carried one before.
+  int LaterRequests() const { return m_later_requests; }
   // Connections that the caller hasn't closed yet.
   int OpenConnections() const { return m_open; }
 
@@ -47,6 +52,7 @@
   NetAddress m_address;
   std::atomic<bool> m_stopped = false;
   std::atomic<int> m_requests = 0;
+  std::atomic<int> m_later_requests = 0;
   std::atomic<int> m_open = 0;
   std::thread m_acceptor;
   std::vector<std::thread> m_threads;
