Continue a stream only with a response of its own type

Reported by other operators: after a stream had begun and broken off, callers found the error of the next replica in their stream, or it ended as if complete.

Cause: responses with another status than 200 are not relayed into a stream that has begun, and it ends visibly incomplete; the test shows that. But a signed 200 with a body that is no stream was relayed, with the end of the stream after it.

Change: a response whose Content-Type isn't that of the first one doesn't continue the stream.

--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -294,6 +294,12 @@
   const bool is_stream = route.m_kind == RouteKind::kStreaming &&
                          call.Head().m_status == kOkStatus &&
                          m_request.WantedBody() == ResponseBody::kSent;
+  if (is_stream && m_stream_started &&
+      call.Head().Find("Content-Type") != m_stream_type) {
+    call.MarkBroken();
+    co_return MayRunAgain() ? AttemptResult::kTryAnother
+                            : AttemptResult::kFailed;
+  }
   if (is_stream) {
     end = co_await RelayStream(call, upstream);
   } else if (!m_stream_started) {
@@ -390,6 +396,7 @@
     return;
   }
   m_stream_started = true;
+  m_stream_type = std::string(upstream_head.Find("Content-Type"));
   MessageHead head = platform::EncodeResponseHead(upstream_head);
   head.Add("Transfer-Encoding", "chunked");
   if (m_node.m_draining_since != Millis()) {
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -80,6 +80,9 @@
   // For streams: whether the head was queued, and the id of the last event that
   // was relayed, or -1.
   bool m_stream_started = false;
+  // Content-Type of the response whose head was queued. One of another type
+  // doesn't continue the stream.
+  std::string m_stream_type;
   int64_t m_last_event_id = -1;
   int m_attempt_events = 0;  // received in the current attempt
   // Whether another upstream can continue the stream: no event was relayed yet,
