Check text from outside where it becomes part of a message

Cause: platform::DecodeItem() checked the fields of an item, but of its path only the first slash, and not its id; the writer checked nothing.

The writer returns nothing for a head with a line break, so such a request is not sent (an item stored by an earlier version is abandoned) and such a response isn't passed on. The id of a job becomes part of keys: with a slash, its keys would lie among the results of another workspace's job. Such ids are rejected.

--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -69,6 +69,13 @@
 }
 
 Task<CallState> UpstreamCall::Start(UpstreamRequest request) {
+  const std::optional<std::string> head = WriteRequestHead(*request.m_head);
+  if (!head) {
+    Log(Severity::kError, LogPart::kUpstreams,
+        "The head of a request can't be sent.",
+        {{"request", request.m_request_id}});
+    co_return CallState::kUnsendable;
+  }
   const CallState connected = co_await Connect(request.m_deadline);
   if (connected != CallState::kResponded) {
     co_return connected;
@@ -78,7 +85,7 @@
     co_return CallState::kCancelled;
   }
   ExpectResponseTo(request.m_head->m_method);
-  m_connection->Queue(WriteRequestHead(*request.m_head));
+  m_connection->Queue(*head);
   m_connection->Queue(request.m_body);
   m_sent = MonotonicNow();
   m_upstream->m_health.m_awaiting_first_byte.insert(m_sent);
--- a/packages/dispatch/upstream_call.h
+++ b/packages/dispatch/upstream_call.h
@@ -17,6 +17,7 @@
 enum class CallState {
   kResponded,     // the upstream has responded to this request
   kNotRun,        // the request was not and will not be run by the upstream
+  kUnsendable,    // a part of the request's head can't be sent anywhere
   kBroken,        // the connection broke, or the response was invalid
   kUnresponsive,  // no response within m_response_timeout
   kCancelled,     // the request was cancelled
--- a/packages/gateway/caller_reply.cc
+++ b/packages/gateway/caller_reply.cc
@@ -30,7 +30,8 @@
   if (!keep_alive) {
     head.Add("Connection", "close");
   }
-  std::string text = WriteResponseHead(head);
+  // The fields are of this VM, so they can be sent.
+  std::string text = WriteResponseHead(head).value();
   if (wanted == ResponseBody::kSent) {
     text += m_body;
   }
--- a/packages/gateway/job_calls.cc
+++ b/packages/gateway/job_calls.cc
@@ -171,7 +171,9 @@
 Task<CallerReply> ServeSubmission(Node& node, IncomingRequest& request) {
   const Route& route = *request.m_route;
   Result<std::vector<JobItem>> items =
-      platform::DecodeSubmission(request.m_body);
+      IsValidJobId(request.m_fields.m_request_id)
+          ? platform::DecodeSubmission(request.m_body)
+          : Fail(ResultCode::kInvalidArgument, "the id of the job is invalid");
   if (!items) {
     const CallerReply reply = MakeErrorReply(items.error());
     LogCall(request, "submit", request.m_fields.m_request_id, reply);
@@ -211,6 +213,12 @@
       request.m_fields.m_wait_budget.value_or(kDefaultWaitBudget) -
       kResponseMargin;
   const std::string workspace(WorkspaceName(request));
+  if (!IsValidJobId(call.m_job)) {
+    const CallerReply unknown = MakeErrorReply(
+        Fail(ResultCode::kNotFound, "no such job in this workspace").value());
+    LogCall(request, CallName(call.m_kind), call.m_job, unknown);
+    co_return unknown;
+  }
   // The owner may still cancel the job after the forwarded call has failed.
   bool may_be_cancelled = false;
   if (!node.m_jobs->IsOwner(call.m_job)) {
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -57,6 +57,8 @@
       return "answered";
     case CallState::kNotRun:
       return "not_run";
+    case CallState::kUnsendable:
+      return "unsendable";
     case CallState::kBroken:
       return "broken";
     case CallState::kUnresponsive:
@@ -272,6 +274,8 @@
     case CallState::kNotRun:
       ++m_rejections;
       co_return AttemptResult::kTryAnother;
+    case CallState::kUnsendable:
+      co_return AttemptResult::kFailed;
     case CallState::kCancelled:
       co_return AttemptResult::kCallerLeft;
     case CallState::kTimedOut:
@@ -351,12 +355,16 @@
   if (m_node.m_draining_since != Millis()) {
     head.Add("Connection", "close");
   }
+  const std::optional<std::string> text = WriteResponseHead(head);
+  if (!text) {
+    co_return AttemptResult::kFailed;
+  }
   call.Finish();
   if (status == kOkStatus) {
     m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
                                          MonotonicNow());
   }
-  m_caller.Queue(WriteResponseHead(head));
+  m_caller.Queue(*text);
   m_caller.Queue(body);
   LogEnd("answered", status);
   co_return AttemptResult::kDelivered;
@@ -391,18 +399,23 @@
                 Millis());
 }
 
-void OnlineRequest::QueueStreamHead(const MessageHead& upstream_head) {
+bool OnlineRequest::QueueStreamHead(const MessageHead& upstream_head) {
   if (m_stream_started) {
-    return;
+    return true;
   }
-  m_stream_started = true;
-  m_stream_type = std::string(upstream_head.Find("Content-Type"));
   MessageHead head = platform::EncodeResponseHead(upstream_head);
   head.Add("Transfer-Encoding", "chunked");
   if (m_node.m_draining_since != Millis()) {
     head.Add("Connection", "close");
   }
-  m_caller.Queue(WriteResponseHead(head));
+  const std::optional<std::string> text = WriteResponseHead(head);
+  if (!text) {
+    return false;
+  }
+  m_stream_started = true;
+  m_stream_type = std::string(upstream_head.Find("Content-Type"));
+  m_caller.Queue(*text);
+  return true;
 }
 
 Task<OnlineRequest::AttemptResult> OnlineRequest::RelayStream(
@@ -454,7 +467,9 @@
     std::string framed;
     AppendChunk(framed, chunk);
     if (!framed.empty() || complete) {
-      QueueStreamHead(call.Head());
+      if (!QueueStreamHead(call.Head())) {
+        co_return AttemptResult::kFailed;
+      }
       m_caller.Queue(framed);
     }
     if (complete) {
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -45,7 +45,7 @@
   Task<AttemptResult> RelayStream(UpstreamCall& call,
                                   const UpstreamPtr& upstream);
   // Queues the head of a streamed response unless it was queued before.
-  void QueueStreamHead(const MessageHead& upstream_head);
+  bool QueueStreamHead(const MessageHead& upstream_head);
   // Records the request as a possible poison request if the upstream broke off
   // its response.
   void RecordIfBroken(CallState state, const UpstreamPtr& upstream);
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -39,7 +39,12 @@
 
 void QueueReply(HttpConnection& peer, MessageHead head, std::string_view body) {
   head.Add("Content-Length", Concat(body.size()));
-  peer.Queue(WriteResponseHead(head));
+  std::optional<std::string> text = WriteResponseHead(head);
+  if (!text) {
+    QueueReply(peer, MakeHead(500), "");
+    return;
+  }
+  peer.Queue(*text);
   peer.Queue(body);
 }
 
--- a/packages/http1/exchange.cc
+++ b/packages/http1/exchange.cc
@@ -19,7 +19,12 @@
     request.m_head.Add("Content-Type", "application/json");
   }
   request.m_head.Add("Content-Length", Concat(request.m_body.size()));
-  connection->Queue(WriteRequestHead(request.m_head));
+  const std::optional<std::string> head = WriteRequestHead(request.m_head);
+  if (!head) {
+    co_return Fail(ResultCode::kInvalidArgument,
+                   "the head of the request can't be sent");
+  }
+  connection->Queue(*head);
   connection->Queue(request.m_body);
   bool done = co_await connection->FlushAll(deadline);
   if (done) {
--- a/packages/http1/http1_test.cc
+++ b/packages/http1/http1_test.cc
@@ -95,6 +95,36 @@
   CHECK(ParseDecimal("99999999999999999999") == std::nullopt);
 }
 
+// Guards against text from outside that adds a field or a whole request.
+TEST_CASE("a head that can't be sent as it is isn't written") {
+  MessageHead head;
+  head.m_method = "POST";
+  head.m_target = "/x?y=\xc3\xa9";
+  head.Add("Tenant", "a b");
+  CHECK(WriteRequestHead(head) ==
+        "POST /x?y=\xc3\xa9 HTTP/1.1\r\nTenant: a b\r\n\r\n");
+  for (const char* target : {"", "/x y", "/x\r\n", "/\t", "/\x7f"}) {
+    MessageHead odd = head;
+    odd.m_target = target;
+    CHECK_FALSE(WriteRequestHead(odd));
+  }
+  for (const char* value : {"a\r\nb: c", "a\n", "\r"}) {
+    MessageHead odd = head;
+    odd.Add("X", value);
+    CHECK_FALSE(WriteRequestHead(odd));
+    CHECK_FALSE(WriteResponseHead(odd));
+  }
+  MessageHead odd = head;
+  odd.Add("X: y\r\nZ", "1");
+  CHECK_FALSE(WriteRequestHead(odd));
+  odd = head;
+  odd.m_method = "POST /z HTTP/1.1\r\n";
+  CHECK_FALSE(WriteRequestHead(odd));
+  odd = head;
+  odd.m_reason = "OK\r\nX: y";
+  CHECK_FALSE(WriteResponseHead(odd));
+}
+
 TEST_CASE("hop-by-hop fields and invalid fields are detected") {
   CHECK(IsHopByHop("Transfer-Encoding", ""));
   CHECK(IsHopByHop("x-mine", "close, X-Mine"));
--- a/packages/http1/message_head.cc
+++ b/packages/http1/message_head.cc
@@ -69,6 +69,13 @@
          });
 }
 
+bool IsValidTarget(std::string_view target) {
+  return !target.empty() && absl::c_none_of(target, [](char c) {
+    const unsigned char byte = static_cast<unsigned char>(c);
+    return byte <= ' ' || byte == 0x7f;
+  });
+}
+
 bool IsHopByHop(std::string_view name, std::string_view connection) {
   for (const std::string_view hop : kHopByHop) {
     if (EqualsIgnoreCase(name, hop)) {
--- a/packages/http1/message_head.h
+++ b/packages/http1/message_head.h
@@ -34,6 +34,10 @@
 // NUL, so that the field cannot alter the structure of a message.
 bool IsValidField(std::string_view name, std::string_view value);
 
+// Returns whether a request line can hold the target: it has no spaces and no
+// control characters.
+bool IsValidTarget(std::string_view target);
+
 // Returns whether the field applies to a single connection and must not be
 // forwarded. `connection` is the value of the message's Connection field, which
 // may name further such fields.
--- a/packages/http1/write_message.cc
+++ b/packages/http1/write_message.cc
@@ -7,11 +7,16 @@
 namespace bronzecross {
 namespace {
 
-void AppendFields(std::string& out, const MessageHead& head) {
+// Returns false if a field can't be sent.
+bool AppendFields(std::string& out, const MessageHead& head) {
   for (const HeaderField& field : head.m_fields) {
+    if (!IsValidField(field.m_name, field.m_value)) {
+      return false;
+    }
     AppendTo(out, field.m_name, ": ", field.m_value, "\r\n");
   }
   out += "\r\n";
+  return true;
 }
 
 }  // namespace
@@ -20,19 +25,24 @@
   return http_status_str(static_cast<http_status>(status));
 }
 
-std::string WriteRequestHead(const MessageHead& head) {
+std::optional<std::string> WriteRequestHead(const MessageHead& head) {
   std::string out = Concat(head.m_method, " ", head.m_target, " HTTP/1.1\r\n");
-  AppendFields(out, head);
+  if (!IsValidField(head.m_method, "") || !IsValidTarget(head.m_target) ||
+      !AppendFields(out, head)) {
+    return std::nullopt;
+  }
   return out;
 }
 
-std::string WriteResponseHead(const MessageHead& head) {
+std::optional<std::string> WriteResponseHead(const MessageHead& head) {
   std::string out =
       Concat("HTTP/1.1 ", head.m_status, " ",
              head.m_reason.empty() ? std::string(ReasonPhrase(head.m_status))
                                    : head.m_reason,
              "\r\n");
-  AppendFields(out, head);
+  if (!IsValidField("reason", head.m_reason) || !AppendFields(out, head)) {
+    return std::nullopt;
+  }
   return out;
 }
 
--- a/packages/http1/write_message.h
+++ b/packages/http1/write_message.h
@@ -3,6 +3,7 @@
 #ifndef BRONZECROSS_HTTP1_WRITE_MESSAGE_H_
 #define BRONZECROSS_HTTP1_WRITE_MESSAGE_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,10 +14,12 @@
 // Returns the standard reason phrase of `status`.
 std::string_view ReasonPhrase(int status);
 
-// Returns the start line and fields of a request, with the final empty line.
-std::string WriteRequestHead(const MessageHead& head);
+// Returns the start line and fields of a request, with the final empty line, or
+// std::nullopt if a part of the head can't be sent. Text from outside, such as
+// a line break in a field, could otherwise add fields or another request.
+std::optional<std::string> WriteRequestHead(const MessageHead& head);
 // Returns the same for a response.
-std::string WriteResponseHead(const MessageHead& head);
+std::optional<std::string> WriteResponseHead(const MessageHead& head);
 
 // Appends `body` as one chunk. Appends nothing if `body` is empty, since an
 // empty chunk ends the message.
--- a/packages/jobs/item_run.cc
+++ b/packages/jobs/item_run.cc
@@ -213,6 +213,10 @@
       progress.m_not_before = MonotonicNow() + kInitialBackoff;
       LogRun(run, "not_run", status);
       break;
+    case CallState::kUnsendable:
+      FinishItem(job, run.m_item, JobResultState::kAbandoned);
+      LogRun(run, "unsendable", status);
+      break;
     case CallState::kCancelled:
       LogRun(run, "yielded", status);
       break;
--- a/packages/jobs/job_record.cc
+++ b/packages/jobs/job_record.cc
@@ -1,5 +1,7 @@
 #include "jobs/job_record.h"
 
+#include <absl/algorithm/container.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
@@ -58,6 +60,16 @@
 
 }  // namespace
 
+bool IsValidJobId(std::string_view id) {
+  constexpr size_t kMaxBytes = 100;
+  return !id.empty() && id.size() <= kMaxBytes &&
+         absl::c_all_of(id, [](char c) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+                  std::string_view("-_.~:+=@").find(c) !=
+                      std::string_view::npos;
+         });
+}
+
 std::string JobPrefix(std::string_view job) {
   return JobKey(job, "");
 }
--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -62,6 +62,11 @@
 
 inline constexpr std::string_view kOpenJobPrefix = "bx/open/";
 
+// Returns whether the id can be part of the keys of a job: 1 to 100 letters,
+// digits and marks other than a slash, so that no job's keys are those of
+// another one.
+bool IsValidJobId(std::string_view id);
+
 // Returns the prefix of all keys below.
 std::string JobPrefix(std::string_view job);
 std::string JobSpecKey(std::string_view job);
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -195,6 +195,17 @@
   CHECK(job->m_unlisted.size() == 1);
 }
 
+// Guards against a job whose keys lie among those of another workspace's job.
+TEST_CASE("ids that would change the keys of a job are invalid") {
+  CHECK(IsValidJobId("7c41e09b52d6a3f8"));
+  CHECK(IsValidJobId("job-1_x.y~z"));
+  for (const std::string& id :
+       {std::string(), std::string("a/results/000000"), std::string("a b"),
+        std::string("a\n"), std::string("a\0b", 3), std::string(101, 'a')}) {
+    CHECK_FALSE(IsValidJobId(id));
+  }
+}
+
 // Creates the event for the record of a VM in the store.
 KvEvent ListedVm(const std::string& id) {
   VmRecord record;
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -498,6 +498,31 @@
   CHECK(cut == 0);
 }
 
+// Guards against a request that a batch item smuggles to a replica in the name
+// of another workspace.
+TEST_CASE("the path and the id of an item add nothing to its request") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  const std::string smuggled =
+      " HTTP/1.1\r\nHost: gateway.test\r\nRequest-Id: x\r\n"
+      "Content-Length: 0\r\n\r\nPOST /once/x HTTP/1.1\r\nHost: "
+      "gateway.test\r\nRequest-Id: foreign\r\nTenant: ws-b\r\n"
+      "Content-Length: 0\r\n\r\nPOST /batch/x";
+  int job = 0;
+  for (const auto& [id, path] :
+       {std::pair<std::string, std::string>{"a", "/batch/x" + smuggled},
+        {"a\r\nTenant: ws-b", "/batch/x"},
+        {"a", "/batch/x\nTenant: ws-b"}}) {
+    json body = json::parse(PlatformJobBody("job", 1));
+    body["items"][0]["id"] = id;
+    body["items"][0]["path"] = path;
+    GatewayRequest request = Submission(Concat("job", ++job), 1, 0);
+    request.m_body = body.dump();
+    CHECK(cluster.Call(request).m_status == 400);
+  }
+  SleepFor(Millis(500));
+  CHECK(cluster.Engine(0).Requests() + cluster.Engine(1).Requests() == 0);
+}
+
 // Stores a copy of the open job `like` under another id, owned by `owner`.
 void StoreCopyOfJob(PlatformStoreStandin& store,
                     const std::string& like,
--- a/tests/soak/kept_connection.cc
+++ b/tests/soak/kept_connection.cc
@@ -27,7 +27,7 @@
     head.Add(field.m_name, field.m_value);
   }
   head.Add("Content-Length", Concat(request.m_body.size()));
-  return WriteRequestHead(head) + request.m_body;
+  return WriteRequestHead(head).value() + request.m_body;
 }
 
 }  // namespace
