Show what keeps the daemon's streams and requests apart

"an engine that fails to resume a stream leaves no trace in it" passes on the code as it was: only parsed events are forwarded, and a stream without its closing event is cut. It still passes if the check of the status in CompletionStream::Resume() is removed, so that check alone isn't shown to be needed. "requests that may run once go over connections of their own" fails if such requests share connections.

--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -5,6 +5,7 @@
 
 #include "harness/cluster.h"
 #include "harness/upstream_proxies.h"
+#include "standins/raw_replica_standin.h"
 
 namespace bronzecross {
 namespace {
@@ -110,4 +111,23 @@
   }
 }
 
+// Guards against a late answer to an earlier request on a used connection: it
+// would be taken for that of a request that the service runs.
+TEST_CASE("requests that may run once go over connections of their own") {
+  DeskCluster desk(1, true);
+  RawReplicaScript script;
+  script.m_begin = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  script.m_later =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+  RawReplicaStandin raw(script);
+  desk.Proxies().Of("service-0").SetTarget(raw.Address());
+  for (int i = 0; i < 6; ++i) {
+    const Result<HttpAnswer> answer = desk.Post("own " + std::to_string(i));
+    REQUIRE(answer.has_value());
+    CHECK(answer->m_status == 200);
+  }
+  CHECK(raw.Requests() == 6);
+  CHECK(raw.LaterRequests() == 0);
+}
+
 }  // namespace bronzecross
--- a/tests/integration/gateway_stray_answers_test.cc
+++ b/tests/integration/gateway_stray_answers_test.cc
@@ -48,6 +48,7 @@
 TEST_CASE("a refusal without an id on a used connection promises nothing") {
   GatewayClusterOptions options;
   options.m_vms = 1;
+  options.m_engines = 1;
   GatewayCluster cluster(options);
   RawReplicaScript script;
   script.m_begin = std::string(kWholeAnswer);
@@ -56,13 +57,14 @@
       "Content-Length: 0\r\n\r\n";
   RawReplicaStandin raw(script);
   const HttpAnswer answer = CallOnKeptConnection(cluster, raw, "/once/x");
-  // The replica had the request, so it may not run at the other one.
+  // The replica had the request, so it may be running it.
   CHECK(answer.m_status == 502);
 }
 
 TEST_CASE("a failure without an id on a used connection isn't passed on") {
   GatewayClusterOptions options;
   options.m_vms = 1;
+  options.m_engines = 1;
   GatewayCluster cluster(options);
   RawReplicaScript script;
   script.m_begin = std::string(kWholeAnswer);
@@ -78,6 +80,7 @@
 TEST_CASE("a refusal of an earlier request is skipped on a used connection") {
   GatewayClusterOptions options;
   options.m_vms = 1;
+  options.m_engines = 1;
   GatewayCluster cluster(options);
   RawReplicaScript script;
   script.m_begin = std::string(kWholeAnswer);
@@ -117,10 +120,11 @@
 // against a stream that ends as if it were complete.
 TEST_CASE("an error after the start of a stream leaves it visibly incomplete") {
   const std::string error = "boom of the next replica";
-  for (const char* head :
-       {"500 Internal Server Error\r\nServer-Stamp: s",
-        "503 Service Unavailable\r\nNot-Run: 1", "200 OK",
-        "404 Not Found\r\nServer-Stamp: s", "200 OK\r\nServer-Stamp: s"}) {
+  for (const std::string& head :
+       {std::string("500 Internal Server Error\r\nServer-Stamp: s"),
+        std::string("503 Service Unavailable\r\nNot-Run: 1"),
+        std::string("404 Not Found\r\nServer-Stamp: s"), std::string("200 OK"),
+        std::string("200 OK\r\nServer-Stamp: s")}) {
     CAPTURE(head);
     GatewayClusterOptions options;
     options.m_vms = 1;
@@ -129,9 +133,10 @@
     cut.m_break_after = 2;
     cluster.Engine(1).SetFaults(cut);
     RawReplicaScript script;
-    script.m_begin = Concat("HTTP/1.1 ", head, "\r\nRequest-Id: {id}\r\n",
-                            "Content-Type: text/plain\r\nContent-Length: ",
-                            error.size(), "\r\n\r\n", error);
+    script.m_begin =
+        Concat("HTTP/1.1 ", head, "\r\nRequest-Id: {id}\r\n",
+               "Content-Type: text/plain\r\nContent-Length: ", error.size(),
+               "\r\n\r\n", error);
     script.m_closes = true;
     RawReplicaStandin raw(script);
     cluster.Engine(0).SetListedAddress(raw.Address());
--- a/tests/integration/online_failures_test.cc
+++ b/tests/integration/online_failures_test.cc
@@ -8,6 +8,7 @@
 
 #include "harness/cluster.h"
 #include "harness/upstream_proxies.h"
+#include "standins/raw_replica_standin.h"
 
 namespace bronzecross {
 namespace {
@@ -88,6 +89,66 @@
   CHECK(text.find("[DONE]") == std::string::npos);
 }
 
+// Guards against an error, or its head, of the next engine in the middle of a
+// caller's stream, and against a stream that ends as if it were complete.
+TEST_CASE("an engine that fails to resume a stream leaves no trace in it") {
+  const std::string failure = "failure of the next engine";
+  for (const std::string& head :
+       {std::string("500 Internal Server Error"),
+        std::string("400 Bad Request"), std::string("429 Too Many Requests"),
+        std::string("200 OK")}) {
+    CAPTURE(head);
+    Cluster cluster(Options(2, 1));
+    UpstreamProxies proxies(cluster);
+    ProxyFaults faults;
+    faults.m_cut_after_bytes = 2000;
+    proxies.Of("engine-0").SetFaults(faults);
+    RawReplicaScript script;
+    // An error may look like a whole stream.
+    const std::string body = head == "200 OK"
+                                 ? failure
+                                 : "data: {\"error\":{\"message\":\"" +
+                                       failure + "\"}}\n\ndata: [DONE]\n\n";
+    script.m_begin = "HTTP/1.1 " + head +
+                     "\r\nContent-Type: text/event-stream\r\n"
+                     "Content-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body;
+    script.m_closes = true;
+    RawReplicaStandin raw(script);
+    proxies.Of("engine-1").SetTarget(raw.Address());
+    int started = 0;
+    for (int i = 0; i < 8; ++i) {
+      const std::string chat = ChatBody("resume " + std::to_string(i), true);
+      HttpClient client;
+      HttpCall call;
+      call.m_method = "POST";
+      call.m_url = cluster.Url(0) + "/v1/chat/completions";
+      call.m_headers = {{"Authorization", "Bearer " + Cluster::Key(0)}};
+      call.m_body = chat;
+      const Result<std::unique_ptr<HttpStream>> stream = client.Open(call);
+      if (!stream || (*stream)->HttpStatus() != 200) {
+        continue;
+      }
+      std::string text;
+      Result<std::string> piece = (*stream)->ReadSome();
+      while (piece && !piece->empty()) {
+        text += *piece;
+        piece = (*stream)->ReadSome();
+      }
+      if (text.find("\"content\"") == std::string::npos) {
+        continue;
+      }
+      ++started;
+      CHECK(text.find("HTTP/1.1") == std::string::npos);
+      CHECK(text.find(failure) == std::string::npos);
+      // The first engine may have resumed it.
+      CHECK(piece.has_value() ==
+            (text.find("data: [DONE]") != std::string::npos));
+    }
+    CHECK(started > 0);
+  }
+}
+
 // Guards against engines that work for callers that are gone.
 TEST_CASE("a caller's hang-up cancels the work upstream") {
   ClusterOptions options = Options(1, 1);
