Create a job through peers in two steps, so that it can be refused

Callers: a VM that the store turns away writes through its peers, where an outcome is often unknown.

Cause: the only write both stored and accepted the job.

Change: such a VM first stores the job as tentative, which counts as no job, and accepts it with a second write. Whatever becomes of the first one, the job may be refused until the second is sent. Another VM replaces a tentative job by compare-and-swap, and the VM that left one removes it after 8 s. A VM that reaches the store directly still creates a job with one write.

A job through peers costs one write more.

Test: "a refused job never runs, and its caller can submit it again" (gateway_jobs_test), also with the refusing VM killed.

--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -38,6 +38,9 @@
   kOpen = 0,
   kDone = 1,       // every item has a listed result
   kCancelled = 2,  // by the caller
+  // Stored, but not accepted. It counts as no job: it never runs, and another
+  // VM may replace it.
+  kTentative = 3,
 };
 
 struct BatchJobState {
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -118,9 +118,15 @@
 
 Task<> JobService::CreateTask(JobPtr job,
                               std::shared_ptr<PendingCreate> pending) {
+  bool is_tentative = false;  // a tentative job may be stored, now or later
   for (;;) {
     if (!m_dependencies.m_kv.IsUnreachable()) {
-      Result<WriteOutcome> outcome = co_await m_store.Create(*job);
+      // A write through another VM often has an unknown outcome. The caller
+      // can be refused all the same, and try another VM in time.
+      const bool is_direct = m_dependencies.m_kv.ReachesDirectly();
+      is_tentative = is_tentative || !is_direct;
+      Result<WriteOutcome> outcome = co_await m_store.Create(
+          *job, is_direct ? CreateMode::kAtOnce : CreateMode::kInTwoSteps);
       if (outcome || outcome.error().m_code == ResultCode::kCorrupt) {
         pending->m_outcome = std::move(outcome);
         break;
@@ -131,6 +137,10 @@
     if (pending->m_stop_retrying && !pending->m_may_exist) {
       pending->m_is_rejected = true;
       pending->m_changed.NotifyAll();
+      if (is_tentative) {
+        co_await Sleep(kLateWriteTime);
+        co_await m_store.RemoveTentative(*job);
+      }
       co_return;
     }
     const Millis pause_until = MonotonicNow() + kCreateRetryDelay;
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -14,6 +14,12 @@
 // one megabyte.
 constexpr size_t kMaxPartialBytes = 600 << 10;
 
+// Appended to the write id of a tentative job when it is accepted.
+constexpr std::string_view kAcceptedSuffix = "+";
+
+// Maximum number of writes by which one call tries to create a job.
+constexpr int kMaxCreateWrites = 4;
+
 const KvItem* FindItem(const KvOutcome& outcome, std::string_view key) {
   for (const KvItem& item : outcome.m_current) {
     if (item.m_key == key) {
@@ -55,7 +61,7 @@
                 std::back_inserter(stored.m_results));
     }
   }
-  if (!state) {
+  if (!state || state->m_phase == JobPhase::kTentative) {
     return Fail(ResultCode::kNotFound, "there is no such job");
   }
   if (!spec) {
@@ -75,38 +81,116 @@
   return stored;
 }
 
-Task<Result<WriteOutcome>> BatchJobStore::Create(Job& job) {
+Task<Result<KvOutcome>> BatchJobStore::WriteNew(const Job& job,
+                                                JobPhase phase,
+                                                int64_t replaces) {
   const std::string& id = job.m_spec.m_id;
+  BatchJobState state = job.m_state;
+  state.m_phase = phase;
   KvTransaction transaction;
-  transaction.m_conditions.push_back({JobStateKey(id), 0});
+  transaction.m_conditions.push_back({JobStateKey(id), replaces});
   transaction.m_puts.push_back({JobSpecKey(id), EncodeJobSpec(job.m_spec), 0});
-  transaction.m_puts.push_back(
-      {JobStateKey(id), EncodeJobState(job.m_state), 0});
-  transaction.m_puts.push_back({OpenJobKey(id), "1", 0});
-  job.m_confirmed = BootNow();
-  const Result<KvOutcome> outcome =
-      co_await m_kv.Transact(std::move(transaction));
-  if (!outcome) {
-    co_return tl::unexpected<Error>(outcome.error());
+  transaction.m_puts.push_back({JobStateKey(id), EncodeJobState(state), 0});
+  if (phase == JobPhase::kOpen) {
+    transaction.m_puts.push_back({OpenJobKey(id), "1", 0});
   }
-  if (outcome->m_applied) {
-    job.m_state_revision = outcome->m_revision;
-    co_return WriteOutcome::kApplied;
-  }
-  const KvItem* current = FindItem(*outcome, JobStateKey(id));
-  std::optional<BatchJobState> stored =
-      current == nullptr ? std::nullopt : DecodeJobState(current->m_value);
-  if (!stored) {
-    co_return Fail(ResultCode::kCorrupt,
-                   "the stored state of the job can't be decoded");
+  Result<KvOutcome> outcome = co_await m_kv.Transact(std::move(transaction));
+  co_return outcome;
+}
+
+Task<Result<KvOutcome>> BatchJobStore::Accept(const Job& job,
+                                              int64_t revision) {
+  const std::string& id = job.m_spec.m_id;
+  BatchJobState state = job.m_state;
+  state.m_write_id += kAcceptedSuffix;
+  KvTransaction transaction;
+  transaction.m_conditions.push_back({JobStateKey(id), revision});
+  transaction.m_puts.push_back({JobStateKey(id), EncodeJobState(state), 0});
+  transaction.m_puts.push_back({OpenJobKey(id), "1", 0});
+  Result<KvOutcome> outcome = co_await m_kv.Transact(std::move(transaction));
+  co_return outcome;
+}
+
+Task<Result<WriteOutcome>> BatchJobStore::Create(Job& job, CreateMode mode) {
+  const std::string accepted_id =
+      Concat(job.m_state.m_write_id, kAcceptedSuffix);
+  // Revision of a tentative job that is replaced; zero: there is none.
+  int64_t replaces = 0;
+  for (int attempt = 0; attempt < kMaxCreateWrites; ++attempt) {
+    job.m_confirmed = BootNow();
+    Result<KvOutcome> outcome = co_await WriteNew(
+        job,
+        mode == CreateMode::kAtOnce ? JobPhase::kOpen : JobPhase::kTentative,
+        replaces);
+    if (!outcome) {
+      // A tentative job that appears later is not accepted.
+      if (mode == CreateMode::kInTwoSteps) {
+        outcome.error().m_run = RunState::kNotRun;
+      }
+      co_return tl::unexpected<Error>(outcome.error());
+    }
+    int64_t tentative = 0;  // revision of this VM's tentative job
+    if (outcome->m_applied) {
+      job.m_state_revision = outcome->m_revision;
+      if (mode == CreateMode::kAtOnce) {
+        co_return WriteOutcome::kApplied;
+      }
+      tentative = outcome->m_revision;
+    } else {
+      const KvItem* current = FindItem(*outcome, JobStateKey(job.m_spec.m_id));
+      std::optional<BatchJobState> stored =
+          current == nullptr ? std::nullopt : DecodeJobState(current->m_value);
+      if (!stored) {
+        co_return Fail(ResultCode::kCorrupt,
+                       "the stored state of the job can't be decoded");
+      }
+      const bool is_tentative = stored->m_phase == JobPhase::kTentative;
+      const bool is_own = stored->m_write_id == job.m_state.m_write_id;
+      if (!is_tentative) {
+        job.m_state_revision = current->m_revision;
+        // An earlier write by this VM took effect, but its reply was lost.
+        if (is_own || stored->m_write_id == accepted_id) {
+          job.m_state.m_write_id = stored->m_write_id;
+          co_return WriteOutcome::kApplied;
+        }
+        job.m_state = *std::move(stored);
+        co_return WriteOutcome::kExists;
+      }
+      if (!is_own) {
+        replaces = current->m_revision;
+        continue;
+      }
+      tentative = current->m_revision;
+    }
+    const Result<KvOutcome> accepted = co_await Accept(job, tentative);
+    if (!accepted) {
+      co_return tl::unexpected<Error>(accepted.error());
+    }
+    if (accepted->m_applied) {
+      job.m_state_revision = accepted->m_revision;
+      job.m_state.m_write_id = accepted_id;
+      co_return WriteOutcome::kApplied;
+    }
+    // Another VM has replaced the tentative job; read by the next attempt.
+    replaces = 0;
   }
-  job.m_state_revision = current->m_revision;
-  // An earlier attempt by this VM took effect, but its reply was lost.
-  if (stored->m_write_id == job.m_state.m_write_id) {
-    co_return WriteOutcome::kApplied;
+  co_return Fail(ResultCode::kStoreUnavailable,
+                 "other VMs write the same job at the same time");
+}
+
+Task<> BatchJobStore::RemoveTentative(const Job& job) {
+  const std::string& id = job.m_spec.m_id;
+  const Result<KvItem> item = co_await m_kv.Get(JobStateKey(id));
+  const std::optional<BatchJobState> stored =
+      item ? DecodeJobState(item->m_value) : std::nullopt;
+  if (!stored || stored->m_phase != JobPhase::kTentative ||
+      stored->m_write_id != job.m_state.m_write_id) {
+    co_return;
   }
-  job.m_state = *std::move(stored);
-  co_return WriteOutcome::kExists;
+  KvTransaction transaction;
+  transaction.m_conditions.push_back({JobStateKey(id), item->m_revision});
+  transaction.m_removes = {JobStateKey(id), JobSpecKey(id)};
+  co_await m_kv.Transact(std::move(transaction));
 }
 
 Task<Result<WriteOutcome>> BatchJobStore::WriteState(Job& job,
@@ -222,6 +306,9 @@
     co_return Fail(ResultCode::kCorrupt,
                    "the stored state of the job can't be decoded");
   }
+  if (state->m_phase == JobPhase::kTentative) {
+    co_return Fail(ResultCode::kNotFound, "the job was not accepted");
+  }
   StoredState stored;
   stored.m_state = *std::move(state);
   stored.m_revision = item->m_revision;
--- a/packages/jobs/job_store.h
+++ b/packages/jobs/job_store.h
@@ -12,6 +12,9 @@
 
 namespace bronzecross {
 
+// Time within which the store may still carry out a write that got no reply.
+inline constexpr Millis kLateWriteTime{8'000};
+
 // The outcome of a write whose effect is known.
 enum class WriteOutcome {
   kApplied,
@@ -39,16 +42,23 @@
 Result<JobSnapshot> DecodeJobSnapshot(std::string_view id,
                                       std::span<const KvItem> items);
 
+// How a job is created. In two steps, it is stored as a tentative job first and
+// then accepted. The job can be refused until the second write is sent,
+// whatever becomes of the first one.
+enum class CreateMode { kAtOnce, kInTwoSteps };
+
 class BatchJobStore {
  public:
   BatchJobStore(KvSession& kv, VmRecord self)
       : m_kv(kv), m_self(std::move(self)) {}
 
-  // Creates a job owned by this VM with a single call to the store. Fails with
-  // kStoreUnavailable; `m_run` of the error then says whether the write may
-  // still take effect. Repeating the call with the same job is safe. For
+  // Creates a job owned by this VM, replacing a tentative one. Fails with
+  // kStoreUnavailable; `m_run` of the error then says whether the job may be
+  // accepted, now or later. Repeating the call with the same job is safe. For
   // kExists, `job` holds the stored state.
-  Task<Result<WriteOutcome>> Create(Job& job);
+  Task<Result<WriteOutcome>> Create(Job& job, CreateMode mode);
+  // Removes what Create() has left of a job that was refused.
+  Task<> RemoveTentative(const Job& job);
 
   // Lists the first `count` unlisted results and saves the partial outputs of
   // unfinished items. Retries until the effect is known.
@@ -88,6 +98,13 @@
   Task<Status> Remove(std::string id, int64_t groups);
 
  private:
+  // Writes the keys of a new job in place of a tentative one with the revision
+  // `replaces`, or of none if it is zero.
+  Task<Result<KvOutcome>> WriteNew(const Job& job,
+                                   JobPhase phase,
+                                   int64_t replaces);
+  // Accepts a tentative job of this VM with the given revision.
+  Task<Result<KvOutcome>> Accept(const Job& job, int64_t revision);
   // Fills `transaction` and `next` for the first `count` unlisted results.
   void PrepareCommit(Job& job,
                      size_t count,
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -22,9 +22,6 @@
 // Key by which all VMs select the same VM for the scans of the fleet.
 constexpr std::string_view kScannerKey = "scan of open jobs";
 
-// Time within which the store may still carry out a write that got no reply.
-constexpr Millis kLateWriteTime{8'000};
-
 // Wait after the start before the list of live VMs counts as complete.
 constexpr Millis kMembershipSettleTime{700};
 
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -99,20 +99,17 @@
   CHECK(cluster.Engine(0).Runs().size() + cluster.Engine(1).Runs().size() == 0);
 }
 
-// Guards against a refusal of a job that an earlier attempt still creates: one
-// peer's write for a VM gets no reply, and another peer is refused.
-TEST_CASE("a job that a relayed write may still create isn't refused") {
-  GatewayClusterOptions options;
-  options.m_vms = 3;
-  options.m_store_proxies = true;
-  GatewayCluster cluster(options);
+// Submits job1 at the first VM, which the store turns away, so that its writes
+// go through other VMs. Those whose keys contain `late_key` get no reply and
+// take effect later; meanwhile the store refuses all calls. Returns the status.
+int SubmitThroughPeers(GatewayCluster& cluster, const std::string& late_key) {
   ProxyFaults away;
   away.m_refuse = true;
   cluster.StoreProxy(0).SetFaults(away);
   cluster.StoreProxy(0).CutAll();
   SleepFor(Millis(1'000));
   PlatformStoreFaults faults;
-  faults.m_late_key = "/job1/";
+  faults.m_late_key = late_key;
   faults.m_late_by = Millis(6'000);
   cluster.Store().SetFaults(faults);
   int status = 0;
@@ -128,10 +125,51 @@
   cluster.Store().SetFaults(PlatformStoreFaults());
   CHECK(WaitFor([&] { return cluster.Store().Count("bx/job/job1") > 0; },
                 Millis(10'000)));
+  return status;
+}
+
+GatewayClusterOptions ThreeVmsWithProxies() {
+  GatewayClusterOptions options;
+  options.m_vms = 3;
+  options.m_store_proxies = true;
+  return options;
+}
+
+// Guards against a refusal of a job that an earlier attempt still creates: one
+// peer's write for a VM gets no reply, and another peer is refused.
+TEST_CASE("a job that a relayed write may still accept isn't refused") {
+  GatewayCluster cluster(ThreeVmsWithProxies());
+  const int status = SubmitThroughPeers(cluster, "bx/open/job1");
   CHECK(status != 503);
   CHECK(status != 429);
 }
 
+// Guards against a refused job that runs once the store has carried out a write
+// that got no reply, also after the loss of the VM that refused it.
+TEST_CASE("a refused job never runs, and its caller can submit it again") {
+  for (const bool is_killed : {false, true}) {
+    CAPTURE(is_killed);
+    GatewayCluster cluster(ThreeVmsWithProxies());
+    CHECK(SubmitThroughPeers(cluster, "/job1/") == 503);
+    if (is_killed) {
+      cluster.Vm(0).Kill();
+    }
+    // Some VM lists the open jobs meanwhile, and takes over lost ones.
+    SleepFor(Millis(9'000));
+    CHECK(cluster.Engine(0).Requests() + cluster.Engine(1).Requests() == 0);
+    CHECK(cluster.Store().Count("bx/open/job1") == 0);
+    CHECK((is_killed || cluster.Store().Count("bx/job/job1") == 0));
+    GatewayRequest read;
+    read.m_vm = 1;
+    read.m_method = "GET";
+    read.m_target = PlatformResultsPath("job1");
+    read.m_body = "";
+    CHECK(cluster.Call(read).m_status == 404);
+    CHECK(cluster.Call(Submission("job1", 2, 1)).m_status == 202);
+    CheckResults(cluster.WaitForResults(2, "job1", kJobTimeout), "job1", 2, 5);
+  }
+}
+
 TEST_CASE("a job goes on after its VM was killed, and results stay") {
   GatewayClusterOptions options;
   options.m_vms = 3;
