Leave a job's items alone until its end may be stored

Cause: the owner cancelled the runs before it tried to write the end.

Change: the runs are cancelled once the write was applied or may have been. Ends take effect a write later, some milliseconds.

Test: "a job whose end was refused goes on" still holds.

--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -70,19 +70,21 @@
                           : std::string(PickService(*route, ThreadRandom()));
 }
 
-bool ItemScheduler::MayStartItems(const Job& job) const {
-  return job.IsOpen() && !job.IsBeingCancelled() && m_ownership.IsCertain(job);
+bool ItemScheduler::MayStartItems(const Job& job, Millis boot_now) const {
+  return job.IsOpen() && !job.m_may_be_cancelled &&
+         m_ownership.IsCertain(job, boot_now);
 }
 
 int ItemScheduler::CountWaitingItems(std::string_view service,
                                      bool& urgent) const {
   const Millis now = MonotonicNow();
+  const Millis boot_now = BootNow();
   const Millis wall = WallNow();
   int count = 0;
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
        ++entry) {
     const Job& job = *entry->second;
-    if (!MayStartItems(job) || SelectServiceFor(job) != service) {
+    if (!MayStartItems(job, boot_now) || SelectServiceFor(job) != service) {
       continue;
     }
     for (const ItemProgress& progress : job.m_progress) {
@@ -150,6 +152,7 @@
                                  std::string_view service,
                                  int count) {
   const Millis now = MonotonicNow();
+  const Millis boot_now = BootNow();
   const Millis wall = WallNow();
   for (; count > 0; --count) {
     // The first item in the order of RunsBefore().
@@ -159,7 +162,7 @@
     for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
          ++entry) {
       const JobPtr& job = entry->second;
-      if (!MayStartItems(*job) || SelectServiceFor(*job) != service) {
+      if (!MayStartItems(*job, boot_now) || SelectServiceFor(*job) != service) {
         continue;
       }
       for (size_t i = 0; i < job->m_progress.size(); ++i) {
@@ -410,7 +413,7 @@
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
        ++entry) {
     Job& job = *entry->second;
-    if (!job.IsOpen() || job.IsBeingCancelled()) {
+    if (!job.IsOpen() || job.m_may_be_cancelled) {
       continue;
     }
     AbandonUnservableItems(job);
@@ -468,11 +471,13 @@
   if (m_dependencies.m_kv.IsUnreachable()) {
     return;
   }
+  const Millis boot_now = BootNow();
   std::vector<JobPtr> uncertain;
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
        ++entry) {
     const Job& job = *entry->second;
-    if (job.IsOpen() && !job.m_is_confirming && !m_ownership.IsCertain(job)) {
+    if (job.IsOpen() && !job.m_is_confirming &&
+        !m_ownership.IsCertain(job, boot_now)) {
       uncertain.push_back(entry->second);
     }
   }
--- a/packages/jobs/item_scheduler.h
+++ b/packages/jobs/item_scheduler.h
@@ -67,8 +67,8 @@
   // Abandons the waiting items if the route was removed or the time for which
   // the job is retained is over.
   void AbandonUnservableItems(Job& job);
-  // Whether items of the job may start.
-  bool MayStartItems(const Job& job) const;
+  // Whether items of the job may start. `boot_now` is BootNow().
+  bool MayStartItems(const Job& job, Millis boot_now) const;
   Task<> ConfirmTask(JobPtr job);
   // Confirms the ownership of the open jobs where it isn't certain.
   void ConfirmJobs();
--- a/packages/jobs/job.h
+++ b/packages/jobs/job.h
@@ -63,10 +63,9 @@
   std::vector<JobResult> m_listed;
   // Results of finished items that have no position in the result list yet.
   std::vector<JobResult> m_unlisted;
-  // Number of cancellations whose outcome is not known yet. No further item
-  // starts meanwhile. A cancellation that was refused as not run leaves the job
-  // as it was.
-  int m_cancellations = 0;
+  // The store may have cancelled the job: no further item starts until that is
+  // known. A cancellation that was refused leaves the job as it was.
+  bool m_may_be_cancelled = false;
   // Another VM owns the job, or this VM has removed it from memory: nothing
   // more is written to the store.
   bool m_dropped = false;
@@ -89,7 +88,6 @@
   bool IsOpen() const {
     return m_state.m_phase == JobPhase::kOpen && !m_dropped;
   }
-  bool IsBeingCancelled() const { return m_cancellations > 0; }
 };
 
 using JobPtr = std::shared_ptr<Job>;
--- a/packages/jobs/job_ownership.cc
+++ b/packages/jobs/job_ownership.cc
@@ -37,8 +37,8 @@
   UpdateContact(m_contact, m_dependencies.m_hears_fleet(), BootNow());
 }
 
-bool JobOwnership::IsCertain(const Job& job) const {
-  return IsOwnershipCertain(m_contact, job.m_confirmed, BootNow());
+bool JobOwnership::IsCertain(const Job& job, Millis boot_now) const {
+  return IsOwnershipCertain(m_contact, job.m_confirmed, boot_now);
 }
 
 Task<bool> JobOwnership::Confirm(JobPtr job) {
@@ -51,7 +51,7 @@
   if (job->m_dropped) {
     co_return false;
   }
-  const bool is_certain = IsCertain(*job);
+  const bool is_certain = IsCertain(*job, started);
   if (is_certain || started < job->m_next_confirmation) {
     co_return is_certain;
   }
--- a/packages/jobs/job_ownership.h
+++ b/packages/jobs/job_ownership.h
@@ -44,8 +44,9 @@
       : m_dependencies(dependencies), m_store(store), m_drop(std::move(drop)) {}
 
   void Update();
-  // Returns whether this VM may act as the owner of an open job.
-  bool IsCertain(const Job& job) const;
+  // Returns whether this VM may act as the owner of an open job. `boot_now` is
+  // BootNow().
+  bool IsCertain(const Job& job, Millis boot_now) const;
   // Reads the state of the job, unless the ownership is certain or the store
   // can't be queried. Returns whether it is certain afterwards.
   Task<bool> Confirm(JobPtr job);
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -363,40 +363,43 @@
 }
 
 Task<Result<WriteOutcome>> JobService::CancelOwn(JobPtr job, Millis deadline) {
-  ++job->m_cancellations;
-  m_scheduler.CancelRuns(*job);
   co_await WaitForCommit(job, deadline);
   if (!job->IsOpen()) {
-    --job->m_cancellations;
     // A job that another VM took over meanwhile may be open there.
     co_return job->m_dropped ? WriteOutcome::kSuperseded
                              : WriteOutcome::kApplied;
   }
   if (job->m_is_committing) {
-    --job->m_cancellations;
     co_return Fail(ResultCode::kStoreUnavailable,
                    "an earlier write of the job is not acknowledged yet");
   }
+  // The items go on until the store may have cancelled the job, so that one
+  // that can't be cancelled now loses nothing.
   job->m_is_committing = true;
   Result<WriteOutcome> outcome = co_await m_store.Cancel(*job, deadline);
   if (!outcome && outcome.error().m_run == RunState::kUnknown) {
+    job->m_may_be_cancelled = true;
+    m_scheduler.CancelRuns(*job);
     Spawn(FinishCancel(job));
     co_return outcome;
   }
-  OnCancelOutcome(*job);
+  EndCancel(*job);
   co_return outcome;
 }
 
-void JobService::OnCancelOutcome(Job& job) {
-  --job.m_cancellations;
+void JobService::EndCancel(Job& job) {
+  job.m_may_be_cancelled = false;
   job.m_is_committing = false;
-  job.m_closed_at = MonotonicNow();
+  if (!job.IsOpen()) {
+    job.m_closed_at = MonotonicNow();
+    m_scheduler.CancelRuns(job);
+  }
   job.m_changed.NotifyAll();
 }
 
 Task<> JobService::FinishCancel(JobPtr job) {
   const Result<WriteOutcome> outcome = co_await m_store.Cancel(*job, kNever);
-  OnCancelOutcome(*job);
+  EndCancel(*job);
   if (!outcome || *outcome != WriteOutcome::kApplied) {
     m_scheduler.Drop(*job);
   }
--- a/packages/jobs/job_service.h
+++ b/packages/jobs/job_service.h
@@ -81,7 +81,8 @@
   Task<Result<WriteOutcome>> CancelOwn(JobPtr job, Millis deadline);
   // Completes a cancellation that the store may have carried out.
   Task<> FinishCancel(JobPtr job);
-  void OnCancelOutcome(Job& job);
+  // Ends the write of a cancellation whose outcome is known.
+  void EndCancel(Job& job);
   // Cancels a job that this VM does not have in memory.
   Task<Status> CancelRemote(std::string id, std::string workspace);
   // Records the owner of a job that this VM has answered a caller about, from
