Refuse connections at once when a server stops listening

Cause: HttpServer::StopListening() closes the listening socket while the daemon's thread may still poll it. The kernel keeps it open, and accepts, until that call returns.

Change: the socket is shut down before it is closed. In the daemon, callers of a VM that drains are refused at once instead of being accepted by nobody.

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -323,6 +323,9 @@
   if (m_daemon != nullptr && m_listening.exchange(false)) {
     MHD_quiesce_daemon(m_daemon);
     AcceptBacklog();
+    // The daemon's thread may still poll the socket, which would keep accepting
+    // connections until that call returns.
+    shutdown(m_listen_fd, SHUT_RDWR);
     close(m_listen_fd);
   }
 }
--- a/packages/http/http_test.cc
+++ b/packages/http/http_test.cc
@@ -120,6 +120,32 @@
   CHECK(response.error().m_run == RunState::kUnknown);
 }
 
+// Guards against connections that are accepted, and never served, after the
+// server has stopped listening.
+TEST_CASE("no connection is accepted once the server has stopped listening") {
+  // An address of this process alone, as another one could take the port.
+  const int pid = getpid();
+  HttpServerOptions options;
+  options.m_address = {absl::StrCat("127.", 100 + ((pid >> 16) & 0x3f), ".",
+                                    (pid >> 8) & 0xff, ".", pid & 0xff),
+                       0};
+  int accepted = 0;
+  for (int i = 0; i < 200; ++i) {
+    HttpServer server(options, {PlanBody, [](HttpRequest&, const Status&) {
+                                  return JsonReply(200, "{}");
+                                }});
+    REQUIRE(server.Start().has_value());
+    const NetAddress address = server.Address();
+    server.StopListening();
+    const Result<int> fd = ConnectTcp(address, Millis(1'000));
+    if (fd) {
+      ++accepted;
+      close(*fd);
+    }
+  }
+  CHECK(accepted == 0);
+}
+
 // Guards against wrongly preventing a retry, and wrongly allowing one.
 TEST_CASE(
     "a refused connection is reported as not run, a time-out as unknown") {
