--- a/packages/http/http_test.cc
+++ b/packages/http/http_test.cc
@@ -88,8 +88,10 @@
   }
   CHECK(sent == kBodyBytes);
   char reply[64] = {};
-  CHECK(recv(*fd, reply, sizeof(reply), 0) > 0);
-  CHECK(std::string_view(reply).starts_with("HTTP/1.1 401 "));
+  const ssize_t received = recv(*fd, reply, sizeof(reply), 0);
+  REQUIRE(received > 0);
+  CHECK(std::string_view(reply, static_cast<size_t>(received))
+            .starts_with("HTTP/1.1 401 "));
   close(*fd);
 }
 
