Pass new batch jobs on to less loaded VM groups

Callers saw batch items late while engines had free slots: each VM group runs the jobs that arrive at its VMs, and jobs arrive unevenly.

A VM that gets a job now compares the batch load of its group with what other groups report in their brief gossip, and passes the job on for a clear gain. The other VM stores it with the same single write; the id and the condition of that write keep it from being created twice. Off unless [batch] forward_jobs is set.

--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // Version of the message layout. Messages of another version are rejected.
-constexpr int kLayoutVersion = 5;
+constexpr int kLayoutVersion = 6;
 
 // Positions in the message, which is a MessagePack array. Lists of rows are
 // flat arrays that hold the rows one after another.
@@ -40,6 +40,7 @@
   kPosPartCrashes,
   kPosBlamedParts,
   kPosExoneratedParts,
+  kPosBatchLoads,
   kPosCount,
 };
 
@@ -158,6 +159,12 @@
     backlogs.insert(backlogs.end(),
                     {json(backlog.m_service), json(backlog.m_items)});
   }
+  json batch_loads = json::array();
+  for (const BatchLoadReport& report : gossip.m_batch_loads) {
+    batch_loads.insert(
+        batch_loads.end(),
+        {json(report.m_service), json(static_cast<float>(report.m_load))});
+  }
   json waiting = json::array();
   for (const WaitingTokens& tokens : gossip.m_waiting_tokens) {
     waiting.insert(waiting.end(),
@@ -204,7 +211,8 @@
                                     std::move(request_failures),
                                     std::move(crashes),
                                     EncodeParts(gossip.m_blamed_parts),
-                                    EncodeParts(gossip.m_exonerated_parts)});
+                                    EncodeParts(gossip.m_exonerated_parts),
+                                    std::move(batch_loads)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -234,14 +242,15 @@
   const Rows levels(message[kPosLevels], 3);
   const Rows grants(message[kPosGrants], 4);
   const Rows backlogs(message[kPosBacklogs], 2);
+  const Rows batch_loads(message[kPosBatchLoads], 2);
   const Rows waiting(message[kPosWaitingTokens], 2);
   const Rows queues(message[kPosQueues], 2);
   const Rows request_failures(message[kPosRequestFailures], 2);
   const Rows blamed(message[kPosBlamedParts], 2);
   const Rows exonerated(message[kPosExoneratedParts], 2);
   if (!uses.IsValid() || !levels.IsValid() || !grants.IsValid() ||
-      !backlogs.IsValid() || !waiting.IsValid() || !queues.IsValid() ||
-      !request_failures.IsValid() || !blamed.IsValid() ||
+      !backlogs.IsValid() || !batch_loads.IsValid() || !waiting.IsValid() ||
+      !queues.IsValid() || !request_failures.IsValid() || !blamed.IsValid() ||
       !exonerated.IsValid() || !message[kPosPartCrashes].is_array()) {
     return std::nullopt;
   }
@@ -273,6 +282,10 @@
     gossip.m_backlogs.push_back(
         {backlogs.At<uint32_t>(i, 0), backlogs.At<int>(i, 1)});
   }
+  for (size_t i = 0; i < batch_loads.Count(); ++i) {
+    gossip.m_batch_loads.push_back(
+        {batch_loads.At<uint32_t>(i, 0), batch_loads.At<double>(i, 1)});
+  }
   for (size_t i = 0; i < waiting.Count(); ++i) {
     gossip.m_waiting_tokens.push_back(
         {waiting.At<uint32_t>(i, 0), waiting.At<int64_t>(i, 1)});
--- a/packages/cluster/gossip_message.h
+++ b/packages/cluster/gossip_message.h
@@ -52,6 +52,13 @@
   int m_items = 0;
 };
 
+// Unfinished batch items of one service in the sender's VM group, per slot of
+// the upstreams that the group prefers.
+struct BatchLoadReport {
+  uint32_t m_service = 0;
+  double m_load = 0;
+};
+
 // Number of tokens of accepted items that aren't finished.
 struct WaitingTokens {
   uint32_t m_route_workspace = 0;
@@ -107,6 +114,8 @@
   std::vector<TokenLevel> m_levels;
   std::vector<TokenGrant> m_grants;
   std::vector<BatchBacklog> m_backlogs;
+  // Only in messages to the VMs of other groups.
+  std::vector<BatchLoadReport> m_batch_loads;
   std::vector<WaitingTokens> m_waiting_tokens;
   std::vector<OnlineQueue> m_queues;
   std::vector<JobAnnouncement> m_jobs;
--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -8,6 +8,7 @@
 #include "base/text.h"
 #include "gateway/caller_reply.h"
 #include "gateway/job_calls.h"
+#include "gateway/job_submission.h"
 #include "gateway/online_request.h"
 #include "platform/batch_calls.h"
 
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -89,6 +89,9 @@
       limits.GetInt("result_retention_ms", settings.m_result_retention.count(),
                     kMinMs, kMaxMs));
   limits.Finish();
+  TomlTable batch(root.GetTable("batch"), faults);
+  settings.m_forward_jobs = batch.GetBool("forward_jobs", false);
+  batch.Finish();
   ReadLog(TomlTable(root.GetTable("log"), faults), settings);
   root.Finish();
   if (!faults.empty()) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
   std::vector<NetAddress> m_seeds;
   Millis m_drain_limit{7'000};         // maximum duration of a stop
   Millis m_result_retention{120'000};  // of finished jobs, since submission
+  // Whether jobs go to VM groups with a lower batch load.
+  bool m_forward_jobs = false;
   Severity m_log_level = Severity::kInfo;
   LogFormat m_log_format = LogFormat::kText;
 };
--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -4,6 +4,7 @@
 
 #include "aio/wait.h"
 #include "base/log.h"
+#include "gateway/job_submission.h"
 #include "jobs/job_service.h"
 #include "kv/prefix_follower.h"
 
@@ -99,6 +100,9 @@
   const VmGroup& cell = m_node.m_cluster.OwnGroup();
   std::string brief;
   if (!cell.m_is_whole_fleet && now >= m_next_brief) {
+    if (m_node.m_settings.m_forward_jobs) {
+      AddBatchLoads(m_node, message, now);
+    }
     brief = EncodeGossip(GossipForOtherGroups(std::move(message)));
     m_next_brief = now + BriefInterval(cell.m_fleet_size);
   }
--- a/packages/gateway/job_calls.cc
+++ b/packages/gateway/job_calls.cc
@@ -33,7 +33,6 @@
 constexpr Millis kTellOwnerFor{10'000};
 
 constexpr int kOkStatus = 200;
-constexpr int kAccepted = 202;
 constexpr int kMisdirected = 421;
 
 std::string_view WorkspaceName(const IncomingRequest& request) {
@@ -55,19 +54,6 @@
   return "none";
 }
 
-void LogCall(const IncomingRequest& request,
-             std::string_view name,
-             std::string_view job,
-             const CallerReply& reply) {
-  Log(Severity::kInfo, LogPart::kBatch, "Served a job call.",
-      {{"request", request.m_fields.m_request_id},
-       {"call", name},
-       {"job", job},
-       {"workspace", WorkspaceName(request)},
-       {"status", reply.m_status},
-       {"ms", MonotonicNow() - request.m_arrived}});
-}
-
 // Executes a call on this VM.
 Task<CallerReply> ExecuteCall(Node& node,
                               platform::JobCall call,
@@ -168,55 +154,35 @@
 
 }  // namespace
 
-Task<CallerReply> ServeSubmission(Node& node, IncomingRequest& request) {
-  const Route& route = *request.m_route;
-  Result<std::vector<JobItem>> items =
-      IsValidJobId(request.m_fields.m_request_id)
-          ? platform::DecodeSubmission(request.m_body)
-          : Fail(ResultCode::kInvalidArgument, "the id of the job is invalid");
-  if (!items) {
-    const CallerReply reply = MakeErrorReply(items.error());
-    LogCall(request, "submit", request.m_fields.m_request_id, reply);
-    co_return reply;
-  }
-  JobSpec spec;
-  spec.m_id = request.m_fields.m_request_id;
-  spec.m_workspace = std::string(WorkspaceName(request));
-  spec.m_route = route.m_name;
-  spec.m_host = request.m_fields.m_host;
-  spec.m_submitted = WallNow();
-  spec.m_due = spec.m_submitted + route.m_due;
-  spec.m_retained_until = spec.m_submitted + route.m_retention;
-  spec.m_items = *std::move(items);
-  const Millis deadline =
-      request.m_arrived +
-      request.m_fields.m_wait_budget.value_or(kDefaultWaitBudget) -
-      kResponseMargin;
-  const Status submitted = co_await node.m_jobs->Submit(
-      std::move(spec), route.m_waiting_tokens, deadline);
-  CallerReply reply;
-  if (submitted) {
-    reply.m_status = kAccepted;
-  } else {
-    reply = MakeErrorReply(submitted.error());
-  }
-  LogCall(request, "submit", request.m_fields.m_request_id, reply);
-  co_return reply;
+Millis JobCallDeadline(const IncomingRequest& request) {
+  return request.m_arrived +
+         request.m_fields.m_wait_budget.value_or(kDefaultWaitBudget) -
+         kResponseMargin;
+}
+
+void LogJobCall(const IncomingRequest& request,
+                std::string_view name,
+                std::string_view job,
+                const CallerReply& reply) {
+  Log(Severity::kInfo, LogPart::kBatch, "Served a job call.",
+      {{"request", request.m_fields.m_request_id},
+       {"call", name},
+       {"job", job},
+       {"workspace", WorkspaceName(request)},
+       {"status", reply.m_status},
+       {"ms", MonotonicNow() - request.m_arrived}});
 }
 
 Task<CallerReply> ServeJobCall(Node& node,
                                const IncomingRequest& request,
                                platform::JobCall call) {
   const Millis poll_wait = std::min(request.m_fields.m_poll_wait, kMaxPollWait);
-  const Millis deadline =
-      request.m_arrived +
-      request.m_fields.m_wait_budget.value_or(kDefaultWaitBudget) -
-      kResponseMargin;
+  const Millis deadline = JobCallDeadline(request);
   const std::string workspace(WorkspaceName(request));
   if (!IsValidJobId(call.m_job)) {
     const CallerReply unknown = MakeErrorReply(
         Fail(ResultCode::kNotFound, "no such job in this workspace").value());
-    LogCall(request, CallName(call.m_kind), call.m_job, unknown);
+    LogJobCall(request, CallName(call.m_kind), call.m_job, unknown);
     co_return unknown;
   }
   // The owner may still cancel the job after the forwarded call has failed.
@@ -229,7 +195,7 @@
           node, owner, call, workspace,
           is_cancel ? kForwardedCancelTime : poll_wait, deadline);
       if (forwarded) {
-        LogCall(request, CallName(call.m_kind), call.m_job, *forwarded);
+        LogJobCall(request, CallName(call.m_kind), call.m_job, *forwarded);
         co_return *std::move(forwarded);
       }
       may_be_cancelled =
@@ -248,7 +214,7 @@
       reply.m_status == kOkStatus && !node.m_jobs->IsOwner(call.m_job)) {
     Spawn(TellOwnerOfEnd(node, call, workspace));
   }
-  LogCall(request, CallName(call.m_kind), call.m_job, reply);
+  LogJobCall(request, CallName(call.m_kind), call.m_job, reply);
   co_return reply;
 }
 
--- a/packages/gateway/job_calls.h
+++ b/packages/gateway/job_calls.h
@@ -12,8 +12,13 @@
 
 namespace bronzecross {
 
-// Submits a new job. The response has status 202 if the job was accepted.
-Task<CallerReply> ServeSubmission(Node& node, IncomingRequest& request);
+// Returns when the response to a call must be ready.
+Millis JobCallDeadline(const IncomingRequest& request);
+
+void LogJobCall(const IncomingRequest& request,
+                std::string_view name,
+                std::string_view job,
+                const CallerReply& reply);
 
 // Reads the results or an item body of a job, or ends the job.
 Task<CallerReply> ServeJobCall(Node& node,
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -24,6 +24,7 @@
 // Request targets of the calls.
 inline constexpr std::string_view kPeerStorePath = "/peer/store";
 inline constexpr std::string_view kPeerJobPath = "/peer/job/";
+inline constexpr std::string_view kPeerSubmitPath = "/peer/submit";
 inline constexpr std::string_view kPeerVmsPath = "/peer/vms";
 inline constexpr std::string_view kPeerTokenPath = "/peer/token";
 inline constexpr std::string_view kPeerChangesPath = "/peer/changes";
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -7,6 +7,7 @@
 #include "gateway/changes_message.h"
 #include "gateway/incoming_request.h"
 #include "gateway/job_calls.h"
+#include "gateway/job_submission.h"
 #include "gateway/peer_calls.h"
 #include "http1/write_message.h"
 #include "kv/prefix_follower.h"
@@ -78,6 +79,19 @@
   QueueReply(peer, std::move(reply_head), reply.m_body);
 }
 
+// Stores a job that another VM has passed on.
+Task<> HandleSubmitCall(Node& node, HttpConnection& peer) {
+  const MessageHead head = peer.Parser().GetHead();
+  std::string body = std::move(peer.Parser().Body());
+  const CallerReply reply =
+      co_await ServeForwardedSubmission(node, head, std::move(body));
+  MessageHead reply_head = MakeHead(200);
+  reply_head.Add(kPeerStatusField, Concat(reply.m_status));
+  reply_head.Add(kPeerContentTypeField, reply.m_content_type);
+  reply_head.Add(kPeerRetryAfterField, Concat(reply.m_retry_after.count()));
+  QueueReply(peer, std::move(reply_head), reply.m_body);
+}
+
 // Grants a rate token of a workspace whose limit is kept on this VM. Replies
 // with 429 if the workspace is over its rate, and with 404 if this VM can't
 // decide about the request.
@@ -165,6 +179,8 @@
       co_await HandleChangesCall(node, peer);
     } else if (target == kPeerTokenPath) {
       co_await HandleTokenCall(node, peer);
+    } else if (target.starts_with(kPeerSubmitPath)) {
+      co_await HandleSubmitCall(node, peer);
     } else if (target.starts_with(kPeerJobPath)) {
       co_await HandleJobCall(node, peer);
     } else if (target == kPeerVmsPath) {
