Use the token line at quota owners and pass requests on between shards

Quota owners of large fleets decide with the token line. The priority and the caller's time left travel in the call to the owner; a VM of an earlier version that doesn't send them is served as before. An owner without tokens asks the owner of another shard once before it refuses, so that tokens aren't left over at one shard while the other refuses. Requests that wait at a VM that stops being the owner get no more tokens.

--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -9,6 +9,7 @@
 #include "gateway/caller_reply.h"
 #include "gateway/job_calls.h"
 #include "gateway/online_request.h"
+#include "gateway/token_calls.h"
 #include "platform/batch_calls.h"
 
 namespace bronzecross {
@@ -36,10 +37,6 @@
   return node.m_config == nullptr ? kDefaults : node.m_config->m_limits;
 }
 
-// A request waits for a rate token for at most its latency target divided by
-// this. A rejection within that time leaves the caller time for one retry.
-constexpr int64_t kTokenWaitDivisor = 5;
-
 // Status codes for requests that can't be read.
 constexpr int kHeadTooLarge = 431;
 constexpr int kBodyTooLarge = 413;
@@ -244,9 +241,9 @@
   }
   if (request.m_workspace != nullptr) {
     CallerCancellation cancellation(caller);
-    const Status admitted = co_await node.m_quotas.Admit(
-        request.m_fields.m_request_id, *request.m_workspace,
-        request.m_route->m_latency_target / kTokenWaitDivisor, cancellation);
+    const Status admitted =
+        co_await node.m_quotas.Admit(MakeTokenRequest(request, MonotonicNow()),
+                                     *request.m_workspace, cancellation);
     if (!admitted) {
       RejectRequest(node, caller, request, admitted.error());
       co_return true;
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -3,6 +3,7 @@
 #include "gateway/caller_reply.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_calls.h"
+#include "gateway/token_calls.h"
 
 namespace bronzecross {
 namespace {
@@ -87,5 +88,60 @@
             .ends_with("\r\n\r\n"));
 }
 
+// Guards against lost priorities and times, and against VMs of an earlier
+// version, which send only the id and the wait budget, being refused.
+TEST_CASE("requests for rate tokens keep their fields between VMs") {
+  TokenRequest request;
+  request.m_request_id = "r1";
+  request.m_priority = 2;
+  request.m_wait_budget = Millis(60);
+  request.m_max_wait = Millis(150);
+  request.m_prompt_refusal = Millis(75);
+  request.m_time_left = Millis(4'900);
+  request.m_is_passed_on = true;
+  MessageHead head;
+  EncodeTokenRequest(request, head);
+  const std::optional<TokenRequest> decoded = DecodeTokenRequest(head);
+  REQUIRE(decoded);
+  CHECK(decoded->m_request_id == "r1");
+  CHECK(decoded->m_priority == 2);
+  CHECK(decoded->m_wait_budget == Millis(60));
+  CHECK(decoded->m_max_wait == Millis(150));
+  CHECK(decoded->m_prompt_refusal == Millis(75));
+  CHECK(decoded->m_time_left == Millis(4'900));
+  CHECK(decoded->m_is_passed_on);
+
+  MessageHead earlier;
+  CHECK_FALSE(DecodeTokenRequest(earlier));
+  earlier.Add(kPeerWaitBudgetField, "60");
+  const std::optional<TokenRequest> old = DecodeTokenRequest(earlier);
+  REQUIRE(old);
+  CHECK(old->m_max_wait == Millis(60));
+  CHECK(old->m_prompt_refusal == Millis(60));
+  CHECK_FALSE(old->m_time_left);
+  CHECK_FALSE(old->m_is_passed_on);
+}
+
+// Guards against a workspace's own priority being ignored, and against waits
+// that count the time before the request for a token once more.
+TEST_CASE("a request for a rate token has the workspace's own priority") {
+  Route route;
+  route.m_priority = 2;
+  route.m_latency_target = Millis(300);
+  Workspace workspace;
+  IncomingRequest incoming;
+  incoming.m_route = &route;
+  incoming.m_workspace = &workspace;
+  incoming.m_arrived = Millis(1'000);
+  CHECK(MakeTokenRequest(incoming, Millis(1'000)).m_priority == 2);
+  workspace.m_priority = 0;
+  incoming.m_fields.m_wait_budget = Millis(5'000);
+  const TokenRequest request = MakeTokenRequest(incoming, Millis(1'100));
+  CHECK(request.m_priority == 0);
+  CHECK(request.m_max_wait == Millis(50));
+  CHECK(request.m_prompt_refusal == Millis());
+  CHECK(request.m_time_left == Millis(4'900));
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -9,6 +9,7 @@
 #include "base/text.h"
 #include "cluster/watchers.h"
 #include "gateway/changes_message.h"
+#include "gateway/token_calls.h"
 
 namespace bronzecross {
 namespace {
@@ -111,18 +112,17 @@
 }
 
 Task<Status> PeerCalls::RequestRateToken(std::string vm,
-                                         std::string request_id,
-                                         std::string workspace,
-                                         Millis wait_budget) {
-  WholeRequest request;
-  request.m_head.m_method = "POST";
-  request.m_head.m_target = std::string(kPeerTokenPath);
-  request.m_head.Add(kPeerRequestField, request_id);
-  request.m_head.Add(kPeerWorkspaceField, workspace);
-  request.m_head.Add(kPeerWaitBudgetField, Concat(wait_budget.count()));
+                                         TokenRequest request,
+                                         std::string workspace) {
+  WholeRequest call;
+  call.m_head.m_method = "POST";
+  call.m_head.m_target = std::string(kPeerTokenPath);
+  call.m_head.Add(kPeerWorkspaceField, workspace);
+  EncodeTokenRequest(request, call.m_head);
+  const Millis max_wait = std::max(request.m_max_wait, request.m_wait_budget);
   const Result<WholeResponse> response =
-      co_await Call(std::move(vm), std::move(request),
-                    MonotonicNow() + wait_budget + kTokenCallMargin);
+      co_await Call(std::move(vm), std::move(call),
+                    MonotonicNow() + max_wait + kTokenCallMargin);
   if (!response) {
     co_return tl::unexpected<Error>(response.error());
   }
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -40,6 +40,13 @@
 inline constexpr std::string_view kPeerWaitBudgetField = "X-Patience";
 inline constexpr std::string_view kPeerRetryAfterField = "X-Retry-After";
 inline constexpr std::string_view kPeerPrefixField = "X-Prefix";
+// Fields of a request for a rate token (TokenRequest). Durations are in
+// milliseconds.
+inline constexpr std::string_view kPeerPriorityField = "X-Priority";
+inline constexpr std::string_view kPeerMaxWaitField = "X-Max-Wait";
+inline constexpr std::string_view kPeerPromptRefusalField = "X-Prompt-Refusal";
+inline constexpr std::string_view kPeerTimeLeftField = "X-Time-Left";
+inline constexpr std::string_view kPeerPassedOnField = "X-Passed-On";
 // A revision of the store.
 inline constexpr std::string_view kPeerAfterField = "X-After";
 // Set if only a VM that watches the store itself may reply.
@@ -72,9 +79,8 @@
   Task<Result<KvReply>> Relay(KvCall call, Millis deadline) override;
 
   Task<Status> RequestRateToken(std::string vm,
-                                std::string request_id,
-                                std::string workspace,
-                                Millis wait_budget) override;
+                                TokenRequest request,
+                                std::string workspace) override;
 
   bool HasWatcher(WatchLevels levels) const override;
   bool IsGroupWatcher() const override;
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -8,6 +8,7 @@
 #include "gateway/incoming_request.h"
 #include "gateway/job_calls.h"
 #include "gateway/peer_calls.h"
+#include "gateway/token_calls.h"
 #include "http1/write_message.h"
 #include "kv/prefix_follower.h"
 
@@ -89,16 +90,14 @@
       config == nullptr
           ? nullptr
           : FindWorkspaceByName(*config, head.Find(kPeerWorkspaceField));
-  const std::optional<int64_t> wait_budget =
-      ParseDecimal(head.Find(kPeerWaitBudgetField));
-  if (workspace == nullptr || !wait_budget) {
+  std::optional<TokenRequest> request = DecodeTokenRequest(head);
+  if (workspace == nullptr || !request) {
     QueueReply(peer, MakeHead(404), "");
     co_return;
   }
   CallerCancellation cancellation(peer);
   const Status admitted = co_await node.m_quotas.AdmitForPeer(
-      std::string(head.Find(kPeerRequestField)), *workspace,
-      Millis(*wait_budget), cancellation);
+      std::move(*request), *workspace, cancellation);
   if (!admitted && admitted.error().m_code != ResultCode::kRateLimited) {
     QueueReply(peer, MakeHead(404), "");
     co_return;
--- a/packages/quota/quota_manager.cc
+++ b/packages/quota/quota_manager.cc
@@ -5,6 +5,7 @@
 #include "aio/wait.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "base/text.h"
 #include "quota/quota_owner.h"
 
@@ -98,7 +99,12 @@
                         : 0;
   }
   if (owned_shards == 0) {
-    m_accounts.erase(ShortHash(workspace.m_name));
+    const auto found = m_accounts.find(ShortHash(workspace.m_name));
+    if (found != m_accounts.end()) {
+      // Requests that still wait get no more tokens: the new owner grants them.
+      found->second->m_owned_shards = 0;
+      m_accounts.erase(found);
+    }
     return nullptr;
   }
   AccountPtr account = GetOrCreateAccount(workspace, now);
@@ -208,13 +214,14 @@
   return tl::unexpected<Error>(error);
 }
 
-Task<Status> QuotaManager::Admit(std::string request_id,
+Task<Status> QuotaManager::Admit(TokenRequest request,
                                  const Workspace& workspace,
-                                 Millis wait_budget,
                                  Cancellation& cancellation) {
   if (workspace.m_rate_per_s <= 0) {
     co_return Status();
   }
+  const std::string request_id = request.m_request_id;
+  const std::optional<Millis> time_left = request.m_time_left;
   const std::string& self = m_cluster.Self().m_id;
   std::string owner = self;
   if (HasMultipleGroups() && m_owner_client != nullptr) {
@@ -224,12 +231,15 @@
     owner = FindQuotaOwner(m_cluster, workspace.m_name, index, MonotonicNow());
   }
   Status admitted;
-  if (owner == self) {
+  if (owner != self) {
+    admitted = co_await m_owner_client->RequestRateToken(
+        owner, std::move(request), workspace.m_name);
+  } else if (HasMultipleGroups()) {
     admitted =
-        co_await AdmitHere(request_id, workspace, wait_budget, cancellation);
+        co_await AdmitAsOwner(std::move(request), workspace, cancellation);
   } else {
-    admitted = co_await m_owner_client->RequestRateToken(
-        owner, request_id, workspace.m_name, wait_budget);
+    admitted = co_await AdmitHere(request_id, workspace, request.m_wait_budget,
+                                  cancellation);
   }
   if (!admitted && admitted.error().m_code != ResultCode::kRateLimited) {
     Log(Severity::kWarning, LogPart::kLimits,
@@ -238,10 +248,13 @@
          {"workspace", workspace.m_name},
          {"home", owner},
          {"reason", admitted.error().m_message}});
+    CountMetric("bronzecross_rate_refusals_total",
+                {{"cause", "owner_unreachable"}});
     Error error;
     error.m_code = ResultCode::kRateLimited;
     error.m_message = "the quota owner of the workspace is unreachable";
-    error.m_retry_after = kRetryAfterOwnerUnreachable;
+    error.m_retry_after =
+        std::min(kRetryAfterOwnerUnreachable, LongestRetryAfter(time_left));
     co_return tl::unexpected<Error>(error);
   }
   co_return admitted;
@@ -251,15 +264,32 @@
                                         const Workspace& workspace,
                                         Millis wait_budget,
                                         Cancellation& cancellation) {
-  // The other VMs may know that this VM is the quota owner before it does.
-  if (!m_accounts.contains(ShortHash(workspace.m_name)) &&
-      (!HasMultipleGroups() ||
-       RefreshOwnedAccount(workspace, MonotonicNow()) == nullptr)) {
+  TokenRequest request;
+  request.m_request_id = std::move(request_id);
+  request.m_wait_budget = wait_budget;
+  request.m_max_wait = wait_budget;
+  request.m_prompt_refusal = wait_budget;
+  Status admitted =
+      co_await AdmitForPeer(std::move(request), workspace, cancellation);
+  co_return admitted;
+}
+
+Task<Status> QuotaManager::AdmitForPeer(TokenRequest request,
+                                        const Workspace& workspace,
+                                        Cancellation& cancellation) {
+  Status admitted;
+  if (HasMultipleGroups()) {
+    admitted =
+        co_await AdmitAsOwner(std::move(request), workspace, cancellation);
+    co_return admitted;
+  }
+  // The other VMs may count several VM groups before this VM does.
+  if (!m_accounts.contains(ShortHash(workspace.m_name))) {
     co_return Fail(ResultCode::kPeerUnavailable,
                    "this VM is not the workspace's quota owner");
   }
-  Status admitted =
-      co_await AdmitHere(request_id, workspace, wait_budget, cancellation);
+  admitted = co_await AdmitHere(std::move(request.m_request_id), workspace,
+                                request.m_wait_budget, cancellation);
   co_return admitted;
 }
 
--- a/packages/quota/quota_manager.h
+++ b/packages/quota/quota_manager.h
@@ -19,6 +19,8 @@
 #include "cluster/cluster_view.h"
 #include "fleet/fleet_config.h"
 #include "limits/token_bucket.h"
+#include "quota/token_line.h"
+#include "quota/token_request.h"
 #include "quota/token_sharing.h"
 
 namespace bronzecross {
@@ -27,13 +29,11 @@
 class QuotaOwnerClient {
  public:
   virtual ~QuotaOwnerClient() = default;
-  // Takes one token at `vm`, waiting there for at most `wait_budget`. Fails
-  // with kRateLimited if QuotaManager::AdmitForPeer() does so at that VM, or
-  // with kPeerUnavailable.
+  // Takes one token at `vm`. Fails with kRateLimited if
+  // QuotaManager::AdmitForPeer() does so at that VM, or with kPeerUnavailable.
   virtual Task<Status> RequestRateToken(std::string vm,
-                                        std::string request_id,
-                                        std::string workspace,
-                                        Millis wait_budget) = 0;
+                                        TokenRequest request,
+                                        std::string workspace) = 0;
 };
 
 // Admits requests within the rate limits of their workspaces. In a fleet of a
@@ -52,18 +52,22 @@
 
   // Takes a token for one request, in a fleet of several VM groups from the
   // workspace's quota owner. Fails with kRateLimited and a retry-after time.
-  Task<Status> Admit(std::string request_id,
+  Task<Status> Admit(TokenRequest request,
                      const Workspace& workspace,
-                     Millis wait_budget,
                      Cancellation& cancellation);
   // Takes a token for a request of another VM that regards this VM as the quota
   // owner. Fails with kPeerUnavailable if this VM isn't the owner.
+  Task<Status> AdmitForPeer(TokenRequest request,
+                            const Workspace& workspace,
+                            Cancellation& cancellation);
+  // Same for a request of which only the wait budget is known.
   Task<Status> AdmitForPeer(std::string request_id,
                             const Workspace& workspace,
                             Millis wait_budget,
                             Cancellation& cancellation);
-  // Takes one of this VM's tokens. Waits up to `wait_budget` if other VMs have
-  // tokens or the bucket will hold one in that time.
+  // Takes one of this VM's tokens, in a fleet of a single VM group. Waits up to
+  // `wait_budget` if other VMs have tokens or the bucket will hold one in that
+  // time.
   Task<Status> AdmitHere(std::string request_id,
                          const Workspace& workspace,
                          Millis wait_budget,
@@ -97,7 +101,15 @@
     // refill rate.
     double m_pending_retries = 0;
     Condition m_tokens_added;
+    // In a fleet of several VM groups: the requests that wait for a token or
+    // are expected to come back.
+    TokenLine m_line;
+    // No request is passed on to the owners of other shards before.
+    Millis m_no_passing_until;
   };
+  // A request in the line of an account.
+  struct OwnerWaiter;
+  class LineEntry;
 
   using AccountPtr = std::shared_ptr<Account>;
 
@@ -110,6 +122,27 @@
   // Does the same for one workspace. Returns its account, or null if this VM
   // owns none of its quota shards.
   AccountPtr RefreshOwnedAccount(const Workspace& workspace, Millis now);
+  // Takes a token of an account of this VM, the quota owner, as
+  // SettleLine() decides.
+  Task<Status> AdmitAsOwner(TokenRequest request,
+                            const Workspace& workspace,
+                            Cancellation& cancellation);
+  // Waits in the account's line until the request has an outcome.
+  Task<> WaitInLine(Account& account,
+                    OwnerWaiter& waiter,
+                    Cancellation& cancellation);
+  // Gives the account's tokens to its line and wakes the requests concerned.
+  void SettleAccount(Account& account, Millis now);
+  // Tries the owners of the workspace's other shards, which grant a token only
+  // if they can spare one at once.
+  Task<bool> TakeFromOtherShard(TokenRequest request,
+                                Workspace workspace,
+                                AccountPtr account);
+  TokenSupply Supply(const Account& account, Millis now) const;
+  Status RejectAsOwner(std::string_view request_id,
+                       const Account& account,
+                       const TokenWaiter& waiter,
+                       Millis now) const;
   // Whether this VM has just started and its share is expected to become
   // active soon.
   bool IsAwaitingShare(Millis now) const;
--- a/packages/quota/quota_manager_test.cc
+++ b/packages/quota/quota_manager_test.cc
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "aio/event_loop.h"
 #include "aio/wait.h"
@@ -177,5 +180,125 @@
   }
 }
 
+TokenRequest MakeRequest(std::string id, int priority, Millis max_wait) {
+  TokenRequest request;
+  request.m_request_id = std::move(id);
+  request.m_priority = priority;
+  request.m_max_wait = max_wait;
+  request.m_prompt_refusal = max_wait / 2;
+  return request;
+}
+
+// The owner of the other shards, which has `m_tokens`.
+class FakeOwner : public QuotaOwnerClient {
+ public:
+  Task<Status> RequestRateToken(std::string,
+                                TokenRequest request,
+                                std::string) override {
+    m_requests.push_back(request);
+    if (m_tokens-- > 0) {
+      co_return Status();
+    }
+    co_return Fail(ResultCode::kRateLimited, "no token");
+  }
+
+  int m_tokens = 0;
+  std::vector<TokenRequest> m_requests;
+};
+
+// Admits requests at an owner whose bucket is empty, and lists the ids of the
+// admitted ones in order.
+struct Admissions {
+  std::vector<std::string> m_admitted;
+  int m_refused = 0;
+  int m_left = 0;
+};
+
+Task<> AdmitOne(Fleet& fleet,
+                Workspace workspace,
+                TokenRequest request,
+                Admissions& out) {
+  const std::string id = request.m_request_id;
+  const Status status = co_await fleet.m_quota_manager.AdmitForPeer(
+      std::move(request), workspace, fleet.m_cancel);
+  if (status) {
+    out.m_admitted.push_back(id);
+  } else {
+    ++out.m_refused;
+  }
+  if (--out.m_left == 0) {
+    fleet.m_loop.Stop();
+  }
+}
+
+// Guards against look-ups that are served while more important requests of the
+// workspace are refused.
+TEST_CASE("requests wait for tokens in the order of their priorities") {
+  Fleet fleet;
+  fleet.m_quota_manager.SetShareActive(true, MonotonicNow());
+  const Workspace workspace = fleet.FindWorkspace(true);
+  Admissions out;
+  out.m_left = 4;
+  for (const int priority : {2, 1, 2, 0}) {
+    Spawn(AdmitOne(fleet, workspace,
+                   MakeRequest(Concat("p", priority), priority, Millis(2'000)),
+                   out));
+  }
+  fleet.m_loop.Run();
+  CHECK(out.m_refused == 0);
+  CHECK(out.m_admitted == std::vector<std::string>{"p0", "p1", "p2", "p2"});
+}
+
+// Guards against refusals while the owner of another shard has tokens, against
+// requests that are passed on more than once, and against a call for every
+// refusal when it has none.
+TEST_CASE("a request without a token is passed on to another shard once") {
+  Fleet fleet;
+  FakeOwner other;
+  other.m_tokens = 1;
+  fleet.m_quota_manager.SetOwnerClient(&other);
+  fleet.m_quota_manager.SetShareActive(true, MonotonicNow());
+  Workspace workspace = fleet.FindWorkspace(true);
+  workspace.m_rate_per_s = 160;  // two shards
+  Admissions out;
+  out.m_left = 5;
+  TokenRequest passed_on = MakeRequest("passed on", 0, Millis());
+  passed_on.m_is_passed_on = true;
+  Spawn(AdmitOne(fleet, workspace, passed_on, out));
+  for (int i = 0; i < 4; ++i) {
+    Spawn(AdmitOne(fleet, workspace, MakeRequest(Concat(i), 0, Millis()), out));
+  }
+  fleet.m_loop.Run();
+  CHECK(out.m_admitted == std::vector<std::string>{"0"});
+  CHECK(out.m_refused == 4);
+  REQUIRE(other.m_requests.size() == 2);
+  CHECK(other.m_requests[0].m_is_passed_on);
+  CHECK(other.m_requests[0].m_request_id == "0");
+}
+
+// Guards against an overload that spreads to other workspaces.
+TEST_CASE("a workspace over its rate doesn't delay another one") {
+  Fleet fleet;
+  fleet.m_quota_manager.SetShareActive(true, MonotonicNow());
+  const Workspace busy = fleet.FindWorkspace(true);
+  Workspace other = busy;
+  while (other.m_name == busy.m_name ||
+         FindQuotaOwner(fleet.m_cluster, other.m_name, 0, MonotonicNow()) !=
+             "vm-0") {
+    other.m_name += "x";
+  }
+  Admissions out;
+  out.m_left = 61;
+  for (int i = 0; i < 60; ++i) {
+    Spawn(AdmitOne(fleet, busy, MakeRequest("busy", 0, Millis(400)), out));
+  }
+  Spawn(AdmitOne(fleet, other, MakeRequest("other", 2, Millis(400)), out));
+  fleet.m_loop.Run();
+  REQUIRE(!out.m_admitted.empty());
+  CHECK(std::find(out.m_admitted.begin(), out.m_admitted.begin() + 3,
+                  "other") != out.m_admitted.begin() + 3);
+  CHECK(out.m_refused > 0);
+}
+
 }  // namespace
 }  // namespace bronzecross
