Hand rate tokens over when their owner changes

Callers saw refusals far below their workspace's rate while VMs were restarted one after the other: the tokens of a quota owner were lost when it stopped, and when it was back it refused for about a second until its share was active.

The VM that holds tokens now hands them over: to the next owner before it stops, and to the owner that the list of VMs names later. An owner without tokens says so, and the next one in the order is asked.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -231,6 +231,27 @@
                   [now](const PeerVm& peer) { return IsPresent(peer, now); });
 }
 
+std::string ClusterView::FirstVmForExcept(std::string_view key,
+                                          std::string_view except,
+                                          Millis now) const {
+  const uint64_t seed = Hash64(key);
+  std::string_view best;
+  uint64_t best_score = 0;
+  if (m_self.m_id != except) {
+    best = m_self.m_id;
+    best_score = Hash64(m_self.m_id, seed);
+  }
+  for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
+    const uint64_t score = Hash64(entry->first, seed);
+    if ((best.empty() || score > best_score) && entry->first != except &&
+        IsPresent(entry->second, now)) {
+      best = entry->first;
+      best_score = score;
+    }
+  }
+  return std::string(best);
+}
+
 std::string ClusterView::FirstResponsiveVmFor(std::string_view key,
                                               Millis now) const {
   return FirstFor(key, [this, now](const PeerVm& peer) {
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -92,6 +92,10 @@
   void RefreshGroup(Millis now);
   // Returns the live VM with the highest rendezvous hash for `key`.
   std::string FirstVmFor(std::string_view key, Millis now) const;
+  // Same without the VM `except`; an empty string if there is no other.
+  std::string FirstVmForExcept(std::string_view key,
+                               std::string_view except,
+                               Millis now) const;
   // Same as FirstVmFor(), but without unresponsive VMs. VMs may return
   // different results for a while.
   std::string FirstResponsiveVmFor(std::string_view key, Millis now) const;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -53,6 +53,9 @@
 constexpr Millis kReleaseTimeout{700};
 constexpr Millis kExitMargin{1'000};
 
+// Time for the rate tokens to reach their next owners.
+constexpr Millis kHandoverTime{40};
+
 // Maximum time for each read and write of a readiness check or metrics request.
 constexpr Millis kProbeTimeout{5'000};
 
@@ -474,6 +477,8 @@
       {{"callers", m_node.m_caller_connections},
        {"requests", m_node.m_requests_in_progress},
        {"ms", MonotonicNow() - started}});
+  m_node.m_quotas.HandOverAll(MonotonicNow());
+  co_await Sleep(kHandoverTime);
   co_await m_node.m_registration.End();
   m_loop.Stop();
 }
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -41,6 +41,9 @@
 // the other VM with a new connection.
 constexpr Millis kTokenCallMargin{60};
 
+// Time to send rate tokens to their new owner.
+constexpr Millis kTokenHandoverTimeout{500};
+
 // How long a watcher isn't used after it failed.
 constexpr Millis kWatcherRetryDelay{2'000};
 
@@ -142,6 +145,22 @@
   co_return tl::unexpected<Error>(error);
 }
 
+Task<> PeerCalls::HandOverTokens(std::string vm, TokenHandover handover) {
+  WholeRequest call;
+  call.m_head.m_method = "POST";
+  call.m_head.m_target = std::string(kPeerTokenHandoverPath);
+  EncodeTokenHandover(handover, call.m_head);
+  const Result<WholeResponse> response = co_await Call(
+      vm, std::move(call), MonotonicNow() + kTokenHandoverTimeout);
+  if (!response) {
+    Log(Severity::kWarning, LogPart::kLimits, "Rate tokens were lost.",
+        {{"workspace", handover.m_workspace},
+         {"tokens", handover.m_tokens},
+         {"to", vm},
+         {"reason", response.error().m_message}});
+  }
+}
+
 PeerCalls::WatcherChoice PeerCalls::ChooseWatcher(WatchLevels levels,
                                                   Millis now) const {
   const std::string& self = m_cluster.Self().m_id;
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -24,6 +24,8 @@
 // Request targets of the calls.
 inline constexpr std::string_view kPeerStorePath = "/peer/store";
 inline constexpr std::string_view kPeerJobPath = "/peer/job/";
+inline constexpr std::string_view kPeerTokenHandoverPath =
+    "/peer/token-handover";
 inline constexpr std::string_view kPeerSubmitPath = "/peer/submit";
 inline constexpr std::string_view kPeerVmsPath = "/peer/vms";
 inline constexpr std::string_view kPeerTokenPath = "/peer/token";
@@ -48,6 +50,11 @@
 inline constexpr std::string_view kPeerPromptRefusalField = "X-Prompt-Refusal";
 inline constexpr std::string_view kPeerTimeLeftField = "X-Time-Left";
 inline constexpr std::string_view kPeerPassedOnField = "X-Passed-On";
+// Of rate tokens that are handed over.
+inline constexpr std::string_view kPeerShardField = "X-Shard";
+inline constexpr std::string_view kPeerTokensField = "X-Tokens";
+inline constexpr std::string_view kPeerFromField = "X-From";
+inline constexpr std::string_view kPeerIncarnationField = "X-Incarnation";
 // A revision of the store.
 inline constexpr std::string_view kPeerAfterField = "X-After";
 // Set if only a VM that watches the store itself may reply.
@@ -82,6 +89,7 @@
   Task<Status> RequestRateToken(std::string vm,
                                 TokenRequest request,
                                 std::string workspace) override;
+  Task<> HandOverTokens(std::string vm, TokenHandover handover) override;
 
   bool HasWatcher(WatchLevels levels) const override;
   bool IsGroupWatcher() const override;
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -105,7 +105,8 @@
           ? nullptr
           : FindWorkspaceByName(*config, head.Find(kPeerWorkspaceField));
   std::optional<TokenRequest> request = DecodeTokenRequest(head);
-  if (workspace == nullptr || !request) {
+  if (workspace == nullptr || !request ||
+      !node.m_quotas.IsOwnerReady(*workspace)) {
     QueueReply(peer, MakeHead(404), "");
     co_return;
   }
@@ -124,6 +125,24 @@
   QueueReply(peer, std::move(reply_head), "");
 }
 
+// Receives the rate tokens of a quota shard that this VM now owns.
+Task<> HandleTokenHandover(Node& node, HttpConnection& peer) {
+  const std::optional<TokenHandover> handover =
+      DecodeTokenHandover(peer.Parser().GetHead());
+  co_await node.WaitUntilConfigured();
+  const FleetConfigPtr config = node.m_config;
+  const Workspace* workspace =
+      config == nullptr || !handover
+          ? nullptr
+          : FindWorkspaceByName(*config, handover->m_workspace);
+  if (workspace == nullptr) {
+    QueueReply(peer, MakeHead(404), "");
+    co_return;
+  }
+  node.m_quotas.AcceptHandover(*handover, *workspace, MonotonicNow());
+  QueueReply(peer, MakeHead(200), "");
+}
+
 // Reports store changes to a VM that doesn't watch the store.
 Task<> HandleChangesCall(Node& node, HttpConnection& peer) {
   const MessageHead& head = peer.Parser().GetHead();
@@ -178,6 +197,8 @@
       co_await HandleChangesCall(node, peer);
     } else if (target == kPeerTokenPath) {
       co_await HandleTokenCall(node, peer);
+    } else if (target == kPeerTokenHandoverPath) {
+      co_await HandleTokenHandover(node, peer);
     } else if (target.starts_with(kPeerSubmitPath)) {
       co_await HandleSubmitCall(node, peer);
     } else if (target.starts_with(kPeerJobPath)) {
--- a/packages/gateway/token_calls.cc
+++ b/packages/gateway/token_calls.cc
@@ -20,6 +20,9 @@
 // A refusal within this part of the latency target counts as prompt.
 constexpr int64_t kPromptRefusalDivisor = 4;
 
+// Tokens are sent in thousandths.
+constexpr double kTokenUnits = 1'000;
+
 Millis Remaining(Millis duration, Millis passed) {
   return std::max(duration - passed, Millis());
 }
@@ -82,4 +85,31 @@
   return request;
 }
 
+void EncodeTokenHandover(const TokenHandover& handover, MessageHead& head) {
+  head.Add(kPeerWorkspaceField, handover.m_workspace);
+  head.Add(kPeerShardField, Concat(handover.m_shard));
+  head.Add(kPeerTokensField,
+           Concat(static_cast<int64_t>(handover.m_tokens * kTokenUnits)));
+  head.Add(kPeerFromField, handover.m_from);
+  head.Add(kPeerIncarnationField, Concat(handover.m_from_incarnation));
+}
+
+std::optional<TokenHandover> DecodeTokenHandover(const MessageHead& head) {
+  const std::optional<int64_t> shard = ParseDecimal(head.Find(kPeerShardField));
+  const std::optional<int64_t> tokens =
+      ParseDecimal(head.Find(kPeerTokensField));
+  const std::optional<int64_t> incarnation =
+      ParseDecimal(head.Find(kPeerIncarnationField));
+  if (!shard || !tokens || !incarnation) {
+    return std::nullopt;
+  }
+  TokenHandover handover;
+  handover.m_workspace = std::string(head.Find(kPeerWorkspaceField));
+  handover.m_shard = static_cast<int>(*shard);
+  handover.m_tokens = static_cast<double>(*tokens) / kTokenUnits;
+  handover.m_from = std::string(head.Find(kPeerFromField));
+  handover.m_from_incarnation = static_cast<uint64_t>(*incarnation);
+  return handover;
+}
+
 }  // namespace bronzecross
--- a/packages/gateway/token_calls.h
+++ b/packages/gateway/token_calls.h
@@ -7,6 +7,7 @@
 
 #include "gateway/incoming_request.h"
 #include "http1/message_head.h"
+#include "quota/token_handover.h"
 #include "quota/token_request.h"
 
 namespace bronzecross {
@@ -22,6 +23,11 @@
 // send nothing else than that and the request id.
 std::optional<TokenRequest> DecodeTokenRequest(const MessageHead& head);
 
+// Add tokens on their way to a new owner to the head of a peer call, and read
+// them there.
+void EncodeTokenHandover(const TokenHandover& handover, MessageHead& head);
+std::optional<TokenHandover> DecodeTokenHandover(const MessageHead& head);
+
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_GATEWAY_TOKEN_CALLS_H_
--- a/packages/quota/owner_admission.cc
+++ b/packages/quota/owner_admission.cc
@@ -55,7 +55,7 @@
 };
 
 TokenSupply QuotaManager::Supply(const Account& account, Millis now) const {
-  if (!IsAwaitingShare(now)) {
+  if (!IsAwaitingShare(now) || !account.m_handed.empty()) {
     return {Share(account, now).m_rate_per_s, now};
   }
   const double part =
@@ -115,8 +115,13 @@
     co_return Fail(ResultCode::kPeerUnavailable,
                    "this VM is not the workspace's quota owner");
   }
-  co_await WaitForShare(arrived +
-                        std::min(request.m_max_wait, request.m_prompt_refusal));
+  if (!IsOwnerReady(workspace) || !m_share_active) {
+    const auto account = m_accounts.find(ShortHash(workspace.m_name));
+    if (account == m_accounts.end() || account->second->m_handed.empty()) {
+      co_await WaitForShare(
+          arrived + std::min(request.m_max_wait, request.m_prompt_refusal));
+    }
+  }
   const Millis began = MonotonicNow();
   const AccountPtr account = GetOrCreateAccount(workspace, began);
   OwnerWaiter waiter;
@@ -141,6 +146,64 @@
   co_return Status();
 }
 
+Task<Status> QuotaManager::AdmitAt(std::string vm,
+                                   TokenRequest request,
+                                   Workspace workspace,
+                                   Cancellation& cancellation) {
+  Status admitted;
+  if (vm == m_cluster.Self().m_id) {
+    admitted =
+        co_await AdmitAsOwner(std::move(request), workspace, cancellation);
+  } else if (m_owner_client != nullptr) {
+    admitted = co_await m_owner_client->RequestRateToken(
+        std::move(vm), std::move(request), workspace.m_name);
+  } else {
+    admitted = Fail(ResultCode::kPeerUnavailable, "other VMs can't be called");
+  }
+  co_return admitted;
+}
+
+Task<Status> QuotaManager::AdmitAtOwner(TokenRequest request,
+                                        Workspace workspace,
+                                        int shard,
+                                        Cancellation& cancellation) {
+  const Millis began = MonotonicNow();
+  const std::string& self = m_cluster.Self().m_id;
+  const std::string owner =
+      FindQuotaOwner(m_cluster, workspace.m_name, shard, began);
+  const bool is_ready = owner != self || IsOwnerReady(workspace);
+  Status admitted = Fail(ResultCode::kPeerUnavailable, "the owner isn't ready");
+  if (is_ready) {
+    admitted = co_await AdmitAt(owner, request, workspace, cancellation);
+  }
+  const auto is_unavailable = [](const Status& status) {
+    return !status && status.error().m_code != ResultCode::kRateLimited;
+  };
+  const Millis passed = MonotonicNow() - began;
+  if (!is_unavailable(admitted) || passed > request.m_prompt_refusal) {
+    co_return admitted;
+  }
+  // The owner has just stopped or started, and the next one in the order holds
+  // its tokens.
+  const std::string next =
+      FindNextQuotaOwner(m_cluster, workspace.m_name, shard, owner, began);
+  Status by_next = Fail(ResultCode::kPeerUnavailable, "there is no other VM");
+  if (!next.empty()) {
+    TokenRequest rest = request;
+    rest.m_max_wait = std::max(rest.m_max_wait - passed, Millis());
+    by_next = co_await AdmitAt(next, std::move(rest), workspace, cancellation);
+  }
+  if (!is_unavailable(by_next)) {
+    CountMetric("bronzecross_rate_tokens_total", {{"way", "next_owner"}});
+    co_return by_next;
+  }
+  if (!is_ready) {
+    admitted =
+        co_await AdmitAsOwner(std::move(request), workspace, cancellation);
+  }
+  co_return admitted;
+}
+
 Task<bool> QuotaManager::TakeFromOtherShard(TokenRequest request,
                                             Workspace workspace,
                                             AccountPtr account) {
--- a/packages/quota/quota_manager.cc
+++ b/packages/quota/quota_manager.cc
@@ -39,10 +39,12 @@
 
 TokenShare QuotaManager::Share(const Account& account, Millis now) const {
   if (HasMultipleGroups()) {
-    const double part =
-        static_cast<double>(account.m_owned_shards) / account.m_shard_count;
+    const int shards = m_share_active
+                           ? account.m_owned_shards
+                           : static_cast<int>(account.m_handed.size());
+    const double part = static_cast<double>(shards) / account.m_shard_count;
     return ShareOf(account.m_rate_per_s * part, account.m_burst * part, 1,
-                   m_share_active && account.m_owned_shards > 0);
+                   shards > 0);
   }
   return ShareOf(account.m_rate_per_s, account.m_burst,
                  m_cluster.CountMembers(now), m_share_active);
@@ -51,7 +53,7 @@
 void QuotaManager::Refill(Account& account, Millis now) {
   // SetShareActive() sets the time from which tokens accrue when the share
   // becomes active for the first time.
-  if (!m_share_was_active) {
+  if (!m_share_was_active && account.m_handed.empty()) {
     return;
   }
   const TokenShare share = Share(account, now);
@@ -91,15 +93,21 @@
     const Workspace& workspace,
     Millis now) {
   const int shard_count = CountQuotaShards(workspace.m_rate_per_s);
-  int owned_shards = 0;
+  const auto found = m_accounts.find(ShortHash(workspace.m_name));
+  std::set<int> owned;
   for (int i = 0; i < shard_count && workspace.m_rate_per_s > 0; ++i) {
-    owned_shards += FindQuotaOwner(m_cluster, workspace.m_name, i, now) ==
-                            m_cluster.Self().m_id
-                        ? 1
-                        : 0;
+    const bool is_held =
+        found != m_accounts.end() && IsHeldByHandover(*found->second, i, now);
+    if (!m_released &&
+        (is_held || FindQuotaOwner(m_cluster, workspace.m_name, i, now) ==
+                        m_cluster.Self().m_id)) {
+      owned.insert(i);
+    }
+  }
+  if (found != m_accounts.end()) {
+    HandOverLostShards(*found->second, owned, now);
   }
-  if (owned_shards == 0) {
-    const auto found = m_accounts.find(ShortHash(workspace.m_name));
+  if (owned.empty()) {
     if (found != m_accounts.end()) {
       // Requests that still wait get no more tokens: the new owner grants them.
       found->second->m_owned_shards = 0;
@@ -108,7 +116,10 @@
     return nullptr;
   }
   AccountPtr account = GetOrCreateAccount(workspace, now);
-  account->m_owned_shards = owned_shards;
+  for (const int shard : owned) {
+    account->m_shards.emplace(shard, now);
+  }
+  account->m_owned_shards = static_cast<int>(owned.size());
   account->m_shard_count = shard_count;
   return account;
 }
@@ -223,20 +234,13 @@
   const std::string request_id = request.m_request_id;
   const std::optional<Millis> time_left = request.m_time_left;
   const std::string& self = m_cluster.Self().m_id;
-  std::string owner = self;
-  if (HasMultipleGroups() && m_owner_client != nullptr) {
-    const int shard_count = CountQuotaShards(workspace.m_rate_per_s);
-    const int index =
-        static_cast<int>(Hash64(self) % static_cast<uint64_t>(shard_count));
-    owner = FindQuotaOwner(m_cluster, workspace.m_name, index, MonotonicNow());
-  }
+  const int shard_count = CountQuotaShards(workspace.m_rate_per_s);
+  const int shard =
+      static_cast<int>(Hash64(self) % static_cast<uint64_t>(shard_count));
   Status admitted;
-  if (owner != self) {
-    admitted = co_await m_owner_client->RequestRateToken(
-        owner, std::move(request), workspace.m_name);
-  } else if (HasMultipleGroups()) {
-    admitted =
-        co_await AdmitAsOwner(std::move(request), workspace, cancellation);
+  if (HasMultipleGroups()) {
+    admitted = co_await AdmitAtOwner(std::move(request), workspace, shard,
+                                     cancellation);
   } else {
     admitted = co_await AdmitHere(request_id, workspace, request.m_wait_budget,
                                   cancellation);
@@ -246,7 +250,8 @@
         "Cannot get a rate token from the quota owner.",
         {{"request", request_id},
          {"workspace", workspace.m_name},
-         {"home", owner},
+         {"home",
+          FindQuotaOwner(m_cluster, workspace.m_name, shard, MonotonicNow())},
          {"reason", admitted.error().m_message}});
     CountMetric("bronzecross_rate_refusals_total",
                 {{"cause", "owner_unreachable"}});
@@ -344,6 +349,7 @@
     Refill(*entry->second, now);
   }
   m_share_active = is_active;
+  m_share_active_since = now;
   m_share_was_active = m_share_was_active || is_active;
   m_share_active_changed.NotifyAll();
   Log(is_active ? Severity::kInfo : Severity::kWarning, LogPart::kLimits,
--- a/packages/quota/quota_manager.h
+++ b/packages/quota/quota_manager.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,7 @@
 #include "cluster/cluster_view.h"
 #include "fleet/fleet_config.h"
 #include "limits/token_bucket.h"
+#include "quota/token_handover.h"
 #include "quota/token_line.h"
 #include "quota/token_request.h"
 #include "quota/token_sharing.h"
@@ -34,6 +37,9 @@
   virtual Task<Status> RequestRateToken(std::string vm,
                                         TokenRequest request,
                                         std::string workspace) = 0;
+  // Sends tokens to `vm`, the new owner of their shard. They are lost if that
+  // fails.
+  virtual Task<> HandOverTokens(std::string vm, TokenHandover handover) = 0;
 };
 
 // Admits requests within the rate limits of their workspaces. In a fleet of a
@@ -73,6 +79,17 @@
                          Millis wait_budget,
                          Cancellation& cancellation);
 
+  // Whether this VM may grant tokens as the owner of the workspace's quota: it
+  // has its share of the limits, or an earlier owner has handed over tokens.
+  bool IsOwnerReady(const Workspace& workspace) const;
+  // Adds tokens that an earlier owner of a quota shard has handed over.
+  void AcceptHandover(const TokenHandover& handover,
+                      const Workspace& workspace,
+                      Millis now);
+  // Hands all tokens over to the next owners, before this VM stops. It grants
+  // none afterwards.
+  void HandOverAll(Millis now);
+
   // Sets whether this VM may use its share of the limits now.
   void SetShareActive(bool is_active, Millis now);
   // Adds this VM's token levels to its gossip, and the tokens that it grants to
@@ -91,6 +108,14 @@
     // owns, of m_shard_count.
     int m_owned_shards = 0;
     int m_shard_count = 1;
+    // The owned shards, and since when.
+    std::map<int, Millis> m_shards;
+    // The shards whose tokens were handed over, and by whom.
+    struct Giver {
+      std::string m_from;
+      uint64_t m_from_incarnation = 0;
+    };
+    std::map<int, Giver> m_handed;
     double m_rate_per_s = 0;
     double m_burst = 0;
     TokenBucket m_bucket;
@@ -138,6 +163,25 @@
   Task<bool> TakeFromOtherShard(TokenRequest request,
                                 Workspace workspace,
                                 AccountPtr account);
+  // Whether the earlier owner of a shard, which has handed its tokens over, is
+  // still listed, so that the list of VMs doesn't show the new owner yet.
+  bool IsHeldByHandover(const Account& account, int shard, Millis now) const;
+  // Removes a shard and sends its tokens to `receiver`.
+  void HandOver(Account& account, int shard, const std::string& receiver);
+  void HandOverLostShards(Account& account,
+                          const std::set<int>& owned,
+                          Millis now);
+  // Takes a token at `vm`, which may be this one.
+  Task<Status> AdmitAt(std::string vm,
+                       TokenRequest request,
+                       Workspace workspace,
+                       Cancellation& cancellation);
+  // Takes a token at the owner of this VM's quota shard, or at the next owner
+  // if that one isn't ready.
+  Task<Status> AdmitAtOwner(TokenRequest request,
+                            Workspace workspace,
+                            int shard,
+                            Cancellation& cancellation);
   TokenSupply Supply(const Account& account, Millis now) const;
   Status RejectAsOwner(std::string_view request_id,
                        const Account& account,
@@ -174,6 +218,8 @@
   const Millis m_created = MonotonicNow();
   bool m_share_active = false;
   bool m_share_was_active = false;  // at any time since the start
+  Millis m_share_active_since;
+  bool m_released = false;  // HandOverAll() was called
   Condition m_share_active_changed;
   // Keyed by ShortHash of the workspace's name.
   absl::flat_hash_map<uint32_t, AccountPtr> m_accounts;
--- a/packages/quota/quota_manager_test.cc
+++ b/packages/quota/quota_manager_test.cc
@@ -202,8 +202,16 @@
     co_return Fail(ResultCode::kRateLimited, "no token");
   }
 
+  Task<> HandOverTokens(std::string vm, TokenHandover handover) override {
+    m_receivers.push_back(std::move(vm));
+    m_handovers.push_back(std::move(handover));
+    co_return;
+  }
+
   int m_tokens = 0;
   std::vector<TokenRequest> m_requests;
+  std::vector<std::string> m_receivers;
+  std::vector<TokenHandover> m_handovers;
 };
 
 // Admits requests at an owner whose bucket is empty, and lists the ids of the
--- a/packages/quota/quota_owner.cc
+++ b/packages/quota/quota_owner.cc
@@ -26,4 +26,13 @@
   return cluster.FirstVmFor(Concat("tokens/", workspace, "/", index), now);
 }
 
+std::string FindNextQuotaOwner(const ClusterView& cluster,
+                               std::string_view workspace,
+                               int index,
+                               std::string_view except,
+                               Millis now) {
+  return cluster.FirstVmForExcept(Concat("tokens/", workspace, "/", index),
+                                  except, now);
+}
+
 }  // namespace bronzecross
--- a/packages/quota/quota_owner.h
+++ b/packages/quota/quota_owner.h
@@ -25,6 +25,14 @@
                            int index,
                            Millis now);
 
+// Returns the VM that owns the shard if `except` is not alive; an empty string
+// if there is no other VM.
+std::string FindNextQuotaOwner(const ClusterView& cluster,
+                               std::string_view workspace,
+                               int index,
+                               std::string_view except,
+                               Millis now);
+
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_QUOTA_QUOTA_OWNER_H_
