Keep the object of a leaving upstream that registers again

A leaving upstream got one more request if its entry had ended while the response that said so was still to come, and it then registered again with the same start time. The mark was set on the object of the ended entry. UpstreamTable now keeps the object of an ended entry while this VM has requests in flight there, and uses it again for the same incarnation.

Run: gateway_leaving_again_test 5 times (5 passed), gateway_leaving_test (4 cases passed).

--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -13,6 +13,11 @@
 // has ended. It stops within seconds, or at times within a minute.
 constexpr Millis kLeftRetention{600'000};
 
+// Returns whether this VM has requests in flight at `upstream`.
+bool IsInUse(const Upstream& upstream) {
+  return upstream.m_online > 0 || upstream.m_batch > 0;
+}
+
 }  // namespace
 
 const std::vector<UpstreamPtr>& UpstreamTable::OfService(
@@ -30,7 +35,7 @@
 
 const absl::flat_hash_set<UpstreamPtr>& UpstreamTable::InUse() {
   absl::erase_if(m_in_use, [](const UpstreamPtr& upstream) {
-    return upstream->m_online <= 0 && upstream->m_batch <= 0;
+    return !IsInUse(*upstream);
   });
   return m_in_use;
 }
@@ -78,25 +83,42 @@
     return;
   }
   if (upstream != nullptr) {
-    Deregister(*upstream);
+    Deregister(upstream);
+  }
+  upstream = MakeUpstream(*std::move(entry));
+}
+
+UpstreamPtr UpstreamTable::MakeUpstream(UpstreamEntry entry) {
+  const auto left = m_left.find(entry.m_id);
+  const UpstreamPtr earlier =
+      left == m_left.end() ? nullptr : left->second.m_upstream;
+  if (earlier == nullptr || earlier->m_entry.m_started != entry.m_started) {
+    return std::make_shared<Upstream>(std::move(entry));
+  }
+  if (IsInUse(*earlier) && earlier->m_entry.m_address == entry.m_address &&
+      earlier->m_entry.m_service == entry.m_service) {
+    m_left.erase(left);
+    earlier->m_entry = std::move(entry);
+    earlier->m_deregistered = false;
+    return earlier;
   }
-  upstream = std::make_shared<Upstream>(*std::move(entry));
-  const auto left = m_left.find(id);
-  upstream->m_leaving = left != m_left.end() &&
-                        left->second.m_started == upstream->m_entry.m_started;
+  UpstreamPtr upstream = std::make_shared<Upstream>(std::move(entry));
+  upstream->m_leaving = earlier->m_leaving;
+  return upstream;
 }
 
-void UpstreamTable::Deregister(Upstream& upstream) {
-  upstream.m_deregistered = true;
-  if (!upstream.m_leaving) {
+void UpstreamTable::Deregister(const UpstreamPtr& upstream) {
+  upstream->m_deregistered = true;
+  if (!upstream->m_leaving && !IsInUse(*upstream)) {
     return;
   }
   const Millis now = MonotonicNow();
   absl::erase_if(m_left, [now](const auto& entry) {
-    return entry.second.m_forget_at < now;
+    const LeftUpstream& left = entry.second;
+    return left.m_forget_at < now ||
+           (!left.m_upstream->m_leaving && !IsInUse(*left.m_upstream));
   });
-  m_left[upstream.m_entry.m_id] = {upstream.m_entry.m_started,
-                                   now + kLeftRetention};
+  m_left[upstream->m_entry.m_id] = {upstream, now + kLeftRetention};
 }
 
 void UpstreamTable::Drop(const std::string& id) {
@@ -104,7 +126,7 @@
   if (found == m_by_id.end()) {
     return;
   }
-  Deregister(*found->second);
+  Deregister(found->second);
   found->second->m_pool.Clear();
   m_by_id.erase(found);
   Log(Severity::kInfo, LogPart::kUpstreams, "An upstream is gone.",
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -50,9 +50,13 @@
 
  private:
   void Put(const KvItem& item);
-  // Marks an upstream as no longer registered. If its incarnation registers
-  // again, it is still leaving if it was before.
-  void Deregister(Upstream& upstream);
+  // Marks an upstream as no longer registered and keeps its object for as long
+  // as its incarnation may register again.
+  void Deregister(const UpstreamPtr& upstream);
+  // Returns the object for an entry that has been registered. It is the earlier
+  // object of the same incarnation if that still has requests in flight, since
+  // their responses may yet say that the upstream is leaving.
+  UpstreamPtr MakeUpstream(UpstreamEntry entry);
   void Remove(std::string_view id, bool may_reregister);
   void Drop(const std::string& id);
   void Index();
@@ -74,10 +78,10 @@
   // Entries that expired around an outage of the store, and when they are
   // removed.
   std::map<std::string, Millis, std::less<>> m_postponed;
-  // Incarnations that were leaving when their registration ended, by the id of
-  // the upstream.
+  // Incarnations that were leaving or had requests of this VM in flight when
+  // their registration ended, by the id of the upstream.
   struct LeftUpstream {
-    Millis m_started;    // of the incarnation; Unix time
+    UpstreamPtr m_upstream;
     Millis m_forget_at;  // monotonic time
   };
   absl::flat_hash_map<std::string, LeftUpstream> m_left;
