Move the operator's keys out of gateway.cc and obey evacuations of zones

The operator needs to empty an availability zone: it writes op/evacuate/ZONE, and from then on no VM may send a request to an upstream there. The key was ignored. A request is checked again after its connection is open. With no upstream left, requests are refused at once with 503. The stand-in operator can evacuate a zone.

--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -101,6 +101,20 @@
   return upstream;
 }
 
+bool SlotQueue::IsBarred() const {
+  if (m_upstreams.Evacuations().Count() == 0) {
+    return false;
+  }
+  bool is_barred = false;
+  for (const UpstreamPtr& upstream : m_upstreams.OfService(m_service)) {
+    if (upstream->TakesRequests()) {
+      return false;
+    }
+    is_barred = is_barred || upstream->m_evacuated;
+  }
+  return is_barred;
+}
+
 Task<UpstreamPtr> SlotQueue::Acquire(SlotRequest request,
                                      Cancellation& cancellation) {
   if (m_waiting.empty()) {
@@ -109,13 +123,16 @@
       co_return upstream;
     }
   }
+  if (IsBarred()) {
+    co_return nullptr;
+  }
   Waiting waiting;
   waiting.m_request = std::move(request);
   const Millis wait_deadline = waiting.m_request.m_wait_deadline;
   m_waiting.push_back(&waiting);
   Dispatch();
-  while (waiting.m_assigned == nullptr && !cancellation.IsCancelled() &&
-         MonotonicNow() < wait_deadline) {
+  while (waiting.m_assigned == nullptr && !waiting.m_refused &&
+         !cancellation.IsCancelled() && MonotonicNow() < wait_deadline) {
     WaitAny wait(wait_deadline);
     wait.Add(waiting.m_done);
     wait.Add(cancellation.Changed());
@@ -145,6 +162,9 @@
     waiting->m_assigned = TryPlace(waiting->m_request);
     if (waiting->m_assigned != nullptr) {
       waiting->m_done.NotifyAll();
+    } else if (IsBarred()) {
+      waiting->m_refused = true;
+      waiting->m_done.NotifyAll();
     } else if (waiting->m_request.m_excluded.empty()) {
       return;
     }
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -37,7 +37,8 @@
             std::function<void(Upstream&)> on_placed);
 
   // Waits for a slot. Returns null if the wait deadline passes or the request
-  // is cancelled first. The slot stays in use until Release().
+  // is cancelled first, and at once if no upstream is left where the request
+  // may run. The slot stays in use until Release().
   Task<UpstreamPtr> Acquire(SlotRequest request, Cancellation& cancellation);
   void Release(Upstream& upstream);
 
@@ -58,6 +59,8 @@
   struct Waiting {
     SlotRequest m_request;
     UpstreamPtr m_assigned;
+    // No upstream is left where the request may run.
+    bool m_refused = false;
     Condition m_done;
   };
 
@@ -68,6 +71,9 @@
                    bool& has_untried) const;
   // Returns some of the upstreams that this VM doesn't prefer.
   std::vector<UpstreamPtr> SampleOtherUpstreams() const;
+  // Whether evacuations leave no upstream for the request. It would wait in
+  // vain.
+  bool IsBarred() const;
   UpstreamPtr TryPlace(const SlotRequest& request);
 
   std::string m_service;
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -29,6 +29,8 @@
   // A response said that it is about to stop. This holds for the rest of the
   // incarnation, whatever its registration says.
   bool m_leaving = false;
+  // Its zone is evacuated, so it receives no new requests.
+  bool m_evacuated = false;
   // Whether this VM's group prefers it (upstream_subset.h).
   bool m_in_subset = true;
 
@@ -51,7 +53,7 @@
   int Batch() const { return m_batch + m_peer_batch; }
   int Urgent() const { return m_urgent + m_peer_urgent; }
   bool TakesRequests() const {
-    return !m_deregistered && !m_leaving && !m_entry.m_draining;
+    return !m_deregistered && !m_leaving && !m_entry.m_draining && !m_evacuated;
   }
 };
 
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -84,6 +84,11 @@
     m_upstream->m_pool.Give(std::move(m_connection));
     co_return CallState::kCancelled;
   }
+  // The zone may have been evacuated while the connection was opened.
+  if (m_upstream->m_evacuated) {
+    m_upstream->m_pool.Give(std::move(m_connection));
+    co_return CallState::kNotRun;
+  }
   ExpectResponseTo(request.m_head->m_method);
   m_connection->Queue(*head);
   m_connection->Queue(request.m_body);
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "dispatch/upstream_subset.h"
 #include "platform/upstream_entry.h"
 
@@ -69,7 +70,8 @@
                        upstream->m_entry.m_address == entry->m_address &&
                        upstream->m_entry.m_service == entry->m_service;
   if (is_same && upstream->m_entry.m_draining == entry->m_draining &&
-      upstream->m_entry.m_slots == entry->m_slots) {
+      upstream->m_entry.m_slots == entry->m_slots &&
+      upstream->m_entry.m_zone == entry->m_zone) {
     return;
   }
   Log(Severity::kInfo, LogPart::kUpstreams, "An upstream changed.",
@@ -80,12 +82,52 @@
        {"revision", item.m_revision}});
   if (is_same) {
     upstream->m_entry = *std::move(entry);
+    ApplyZone(*upstream);
     return;
   }
   if (upstream != nullptr) {
     Deregister(upstream);
   }
   upstream = MakeUpstream(*std::move(entry));
+  ApplyZone(*upstream);
+}
+
+void UpstreamTable::ApplyZone(Upstream& upstream) const {
+  upstream.m_evacuated = m_evacuated_zones.Contains(upstream.m_entry.m_zone);
+}
+
+void UpstreamTable::ApplyZones() {
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    ApplyZone(*entry->second);
+  }
+  SetGauge("bronzecross_zones_evacuated", {},
+           static_cast<double>(m_evacuated_zones.Count()));
+  m_changed.NotifyAll();
+}
+
+void UpstreamTable::BeginEvacuation(std::string_view zone) {
+  if (m_evacuated_zones.Begin(zone, MonotonicNow())) {
+    Log(Severity::kWarning, LogPart::kUpstreams,
+        "The evacuation of a zone begins.", {{"zone", zone}});
+    ApplyZones();
+  }
+}
+
+void UpstreamTable::EndEvacuation(std::string_view zone) {
+  const Millis since = m_evacuated_zones.Since(zone);
+  if (m_evacuated_zones.End(zone)) {
+    Log(Severity::kWarning, LogPart::kUpstreams,
+        "The evacuation of a zone has ended.",
+        {{"zone", zone}, {"ms", MonotonicNow() - since}});
+    ApplyZones();
+  }
+}
+
+void UpstreamTable::EndUnlistedEvacuations(
+    std::span<const std::string_view> listed) {
+  for (const std::string& zone : m_evacuated_zones.FindUnlisted(listed)) {
+    EndEvacuation(zone);
+  }
 }
 
 UpstreamPtr UpstreamTable::MakeUpstream(UpstreamEntry entry) {
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -16,6 +16,7 @@
 #include "cluster/cluster_view.h"
 #include "dispatch/upstream.h"
 #include "kv/kv_session.h"
+#include "placement/evacuated_zones.h"
 
 namespace bronzecross {
 
@@ -36,6 +37,14 @@
   // Stores the work times that another VM reported.
   void UpdatePeerPace(const GossipMessage& gossip, Millis now);
 
+  // Stop and resume the use of all upstreams of an availability zone, also of
+  // those that register later.
+  void BeginEvacuation(std::string_view zone);
+  void EndEvacuation(std::string_view zone);
+  // Ends the evacuations of all zones that aren't among `listed`.
+  void EndUnlistedEvacuations(std::span<const std::string_view> listed);
+  const EvacuatedZones& Evacuations() const { return m_evacuated_zones; }
+
   bool IsLoaded() const { return m_loaded; }
   const std::vector<UpstreamPtr>& OfService(std::string_view service) const;
   // Returns the upstreams of a service that this VM prefers.
@@ -57,6 +66,9 @@
   // object of the same incarnation if that still has requests in flight, since
   // their responses may yet say that the upstream is leaving.
   UpstreamPtr MakeUpstream(UpstreamEntry entry);
+  // Applies what the zone of an upstream implies to it.
+  void ApplyZone(Upstream& upstream) const;
+  void ApplyZones();
   void Remove(std::string_view id, bool may_reregister);
   void Drop(const std::string& id);
   void Index();
@@ -75,6 +87,7 @@
   VmGroup m_subset_group;
   std::string m_zone;
   bool m_subset_outdated = true;
+  EvacuatedZones m_evacuated_zones;
   // Entries that expired around an outage of the store, and when they are
   // removed.
   std::map<std::string, Millis, std::less<>> m_postponed;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -13,7 +13,6 @@
 #include "base/metrics.h"
 #include "gateway/caller_connection.h"
 #include "gateway/peer_server.h"
-#include "platform/config_document.h"
 #include "platform/keys.h"
 #include "quota/token_sharing.h"
 
@@ -34,8 +33,7 @@
 // of the limits, so that the others have reduced theirs.
 constexpr Millis kShareActivationDelay{800};
 
-// Interval between queries to the seeds while no other VM is known, and between
-// attempts to report an emptied disk.
+// Interval between queries to the seeds while no other VM is known.
 constexpr Millis kSeedInterval{1'000};
 
 // During a drain, the listener stays open for this long. The load balancer
@@ -128,9 +126,10 @@
 Gateway::Gateway(GatewaySettings settings,
                  std::function<Result<GatewaySettings>()> reload)
     : m_node(std::move(settings)),
+      m_operator_keys(m_node),
       m_operator_follower(m_node.m_kv,
                           std::string(platform::kOperatorPrefix),
-                          OperatorHandlers()),
+                          m_operator_keys.Handlers()),
       m_upstream_follower(m_node.m_kv,
                           std::string(platform::kUpstreamPrefix),
                           UpstreamHandlers()),
@@ -226,43 +225,6 @@
   return {};
 }
 
-void Gateway::OnOperatorItem(const KvItem& item) {
-  const std::string_view vm = platform::VmToRetire(item.m_key);
-  if (!vm.empty() && m_disks_to_empty.insert(std::string(vm)).second) {
-    Spawn(ReportDiskEmptied(std::string(vm)));
-    return;
-  }
-  if (item.m_key != platform::kConfigKey) {
-    return;
-  }
-  Result<FleetConfigPtr> config = platform::DecodeConfig(item.m_value);
-  if (!config) {
-    LogError(Severity::kError, LogPart::kConfig,
-             "The configuration can't be read; the current one stays in use.",
-             config.error());
-    return;
-  }
-  m_node.InstallConfig(*std::move(config), item.m_revision);
-}
-
-PrefixHandlers Gateway::OperatorHandlers() {
-  PrefixHandlers handlers;
-  handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
-    for (const KvItem& item : items) {
-      OnOperatorItem(item);
-    }
-  };
-  handlers.m_on_event = [this](const KvEvent& event) {
-    if (event.m_removed) {
-      m_disks_to_empty.erase(
-          std::string(platform::VmToRetire(event.m_item.m_key)));
-    } else {
-      OnOperatorItem(event.m_item);
-    }
-  };
-  return handlers;
-}
-
 PrefixHandlers Gateway::UpstreamHandlers() {
   PrefixHandlers handlers;
   handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
@@ -289,29 +251,6 @@
   return handlers;
 }
 
-Task<> Gateway::ReportDiskEmptied(std::string vm) {
-  // The system stores no data on disk, so every disk is already empty.
-  const std::string key = platform::RetirementStatusKey(vm);
-  while (m_disks_to_empty.contains(vm)) {
-    if (m_node.m_cluster.FirstVmFor(key, MonotonicNow()) ==
-        m_node.m_cluster.Self().m_id) {
-      KvTransaction transaction;
-      transaction.m_puts.push_back(
-          {key, platform::RetirementCompletedValue(), 0});
-      const Result<KvOutcome> outcome =
-          co_await m_node.m_kv.Transact(std::move(transaction));
-      if (outcome) {
-        Log(Severity::kInfo, LogPart::kMain, "Reported a disk as emptied.",
-            {{"vm", vm}});
-        co_return;
-      }
-    }
-    // The VM that is responsible for the report may fail, so every other VM
-    // keeps checking whether it has become responsible.
-    co_await Sleep(kSeedInterval);
-  }
-}
-
 namespace {
 
 // Returns how long changes of the lists of upstreams and VMs are collected
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -5,13 +5,13 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "aio/tcp_listener.h"
 #include "gateway/gossip_exchange.h"
 #include "gateway/node.h"
+#include "gateway/operator_keys.h"
 #include "gateway/peer_calls.h"
 #include "jobs/job_service.h"
 #include "kv/prefix_follower.h"
@@ -33,9 +33,7 @@
   Status Listen();
   Status AddListener(const NetAddress& address, TcpListener::Acceptor acceptor);
   void StartTasks();
-  // Return the handlers for the operator's keys (the configuration and requests
-  // to empty a disk), for the list of upstreams and for the list of VMs.
-  PrefixHandlers OperatorHandlers();
+  // Return the handlers for the list of upstreams and for the list of VMs.
   PrefixHandlers UpstreamHandlers();
   PrefixHandlers VmHandlers();
   // Updates the VM group, the gather times and the lease for the VMs that are
@@ -47,10 +45,6 @@
   // Queries the seeds for VMs until at least one VM is known.
   Task<> QuerySeeds();
   Task<> QuerySeed(NetAddress seed);
-  // Writes to the store that the disk of `vm` has been emptied. Retries until
-  // that succeeds or the operator's request is removed.
-  Task<> ReportDiskEmptied(std::string vm);
-  void OnOperatorItem(const KvItem& item);
   Task<> WatchSignals();
   // Stops accepting callers, waits for the requests in progress, releases the
   // jobs and the lease, and stops the event loop.
@@ -59,6 +53,7 @@
 
   EventLoop m_loop;
   Node m_node;
+  OperatorKeys m_operator_keys;
   PrefixFollower m_operator_follower;
   PrefixFollower m_upstream_follower;
   PrefixFollower m_vm_follower;
@@ -70,9 +65,6 @@
   std::function<Result<GatewaySettings>()> m_reload;
   std::vector<std::unique_ptr<TcpListener>> m_listeners;
   std::unique_ptr<TcpListener> m_caller_listener;  // closed first in a drain
-  // VMs whose disks the operator has requested to empty, and for which
-  // ReportDiskEmptied() has been started.
-  std::set<std::string> m_disks_to_empty;
 };
 
 }  // namespace bronzecross
--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -8,6 +8,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kConfigKey = "op/config";
+constexpr std::string_view kEvacuatePrefix = "op/evacuate/";
 
 // Position of the batch route.
 constexpr size_t kBatchRoute = 4;
@@ -88,6 +89,14 @@
   Publish(version);
 }
 
+void PlatformOperatorStandin::Evacuate(const std::string& zone) {
+  m_store.Put(Concat(kEvacuatePrefix, zone), "{}");
+}
+
+void PlatformOperatorStandin::WithdrawEvacuation(const std::string& zone) {
+  m_store.Remove(Concat(kEvacuatePrefix, zone));
+}
+
 void PlatformOperatorStandin::PublishUnreadable() {
   m_store.Put(std::string(kConfigKey), R"({"version":"x"})");
 }
--- a/standins/platform_operator_standin.h
+++ b/standins/platform_operator_standin.h
@@ -24,6 +24,9 @@
   // Each writes a whole configuration of the given version.
   void PublishKey(int version, const std::string& key);
   void PublishWaitingCap(int version, int64_t tokens);
+  // Evacuates an availability zone, and withdraws that.
+  void Evacuate(const std::string& zone);
+  void WithdrawEvacuation(const std::string& zone);
   // Writes a document that is no configuration.
   void PublishUnreadable();
   // Adds idempotent routes "/grown/I/" for I below `routes`, and workspaces
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -53,6 +53,10 @@
   for (int i = 0; i < m_options.m_engines; ++i) {
     PlatformReplicaOptions engine = m_options.m_engine;
     engine.m_id = Concat("i-", i);
+    if (!m_options.m_engine_zones.empty()) {
+      engine.m_zone = m_options.m_engine_zones[static_cast<size_t>(i) %
+                                               m_options.m_engine_zones.size()];
+    }
     m_engines.push_back(
         std::make_unique<PlatformReplicaStandin>(m_store, engine));
   }
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -23,6 +23,8 @@
   int m_vms = 2;
   int m_engines = 2;
   PlatformReplicaOptions m_engine;
+  // Zones of the engines, in turn; empty: that of m_engine.
+  std::vector<std::string> m_engine_zones;
   double m_rate_per_s = 0;  // of the workspace; 0: no limit
   double m_burst = 0;
   // Stands a proxy between each VM and the store.
