Bound the requests that all VMs send to a cold upstream

An upstream that has just started, or whose zone returns from an evacuation, crashes if it gets more than coldPerS x cold_over + cold_slack requests within a second, and nothing limited them. Each VM now keeps from the entry, from Cold-Ms and from the end of an evacuation until when an upstream is cold. Few registered VMs, chosen by rendezvous hashing, send to it, each at a fixed rate with a burst of one; a VM without a valid lease sends nothing. Warm upstreams of any zone go first, for online requests and for batch items. Services without coldS or coldPerS are served as before. UpstreamTable::Put now takes over an entry whose only change is the remaining cold time.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -46,6 +46,7 @@
 }
 
 void ClusterView::Put(const VmRecord& record) {
+  ++m_registration_version;
   if (record.m_id == m_self.m_id) {
     m_self_listed = record.m_incarnation == m_self.m_incarnation;
     m_replaces_earlier_incarnation =
@@ -68,6 +69,7 @@
 }
 
 void ClusterView::OnSnapshot(std::span<const KvItem> items) {
+  ++m_registration_version;
   m_loaded = true;
   m_self_listed = false;
   for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
@@ -80,6 +82,7 @@
 
 void ClusterView::OnEvent(const KvEvent& event) {
   if (event.m_removed) {
+    ++m_registration_version;
     const std::string_view id = StripPrefix(event.m_item.m_key, kVmPrefix);
     if (id == m_self.m_id) {
       m_self_listed = false;
@@ -133,6 +136,7 @@
     return nullptr;
   }
   if (sent > known) {
+    ++m_registration_version;
     peer.m_listed = false;
   }
   peer.m_record = gossip.m_sender;
@@ -195,6 +199,19 @@
   return members;
 }
 
+std::vector<VmGroupMember> ClusterView::RegisteredVms() const {
+  std::vector<VmGroupMember> vms;
+  if (m_self_listed) {
+    vms.push_back({m_self.m_id, m_self.m_zone});
+  }
+  for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
+    if (entry->second.m_listed) {
+      vms.push_back({entry->first, entry->second.m_record.m_zone});
+    }
+  }
+  return vms;
+}
+
 void ClusterView::RefreshGroup(Millis now) {
   const std::vector<VmGroupMember> members = Members(now);
   VmGroup group = FindVmGroup(m_self.m_id, m_self.m_zone, members);
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -69,6 +69,11 @@
   bool IsLoaded() const { return m_loaded; }
   // Whether the service lists this VM's current incarnation.
   bool IsSelfListed() const { return m_self_listed; }
+  // The VMs that the service lists, this one included if its current
+  // incarnation is listed. The views are valid until the next change.
+  std::vector<VmGroupMember> RegisteredVms() const;
+  // Changes whenever RegisteredVms() may have changed.
+  int64_t RegistrationVersion() const { return m_registration_version; }
   // Whether an earlier incarnation of this VM was still registered when this
   // one started, so that the other VMs have counted it without interruption.
   bool ReplacesEarlierIncarnation() const {
@@ -106,6 +111,7 @@
   VmRecord m_self;
   bool m_loaded = false;
   bool m_self_listed = false;
+  int64_t m_registration_version = 0;
   VmGroup m_group;
   bool m_replaces_earlier_incarnation = false;
   std::map<std::string, PeerVm, std::less<>> m_peers;
--- a/packages/dispatch/pick_upstream.cc
+++ b/packages/dispatch/pick_upstream.cc
@@ -23,6 +23,18 @@
 // other VMs at once.
 constexpr int kAnnounceAtFreeSlots = 2;
 
+// Whether `a` is preferred to `b`, whatever they cost.
+std::optional<bool> PrefersByClass(const CandidateLoad& a,
+                                   const CandidateLoad& b) {
+  if (a.m_cold != b.m_cold) {
+    return b.m_cold;
+  }
+  if (a.m_slow != b.m_slow) {
+    return b.m_slow;
+  }
+  return std::nullopt;
+}
+
 double MeanWork(std::span<const CandidateLoad> loads) {
   double sum = 0;
   int count = 0;
@@ -63,8 +75,7 @@
     cost += (load.m_same_zone ? 0 : kZoneCost) / load.m_slots;
     cost += kJitter * RandomUnit(random) / load.m_slots;
     const bool is_better =
-        !best || (loads[*best].m_slow != load.m_slow ? loads[*best].m_slow
-                                                     : cost < best_cost);
+        !best || PrefersByClass(load, loads[*best]).value_or(cost < best_cost);
     if (is_better) {
       best = i;
       best_cost = cost;
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "aio/wait.h"
+#include "base/metrics.h"
 #include "base/random.h"
 
 namespace bronzecross {
@@ -16,13 +17,27 @@
 constexpr size_t kMaxSample = 16;
 constexpr size_t kMaxExamined = 64;
 
-int CountSlots(std::span<const UpstreamPtr> upstreams, Millis now) {
+// Returns the slots of an upstream. A cold one counts with what this VM may
+// send there while a request holds a slot.
+int UsableSlots(const Upstream& upstream, double service_ms, Millis now) {
+  if (!upstream.IsColdAt(now)) {
+    return upstream.m_entry.m_slots;
+  }
+  const double per_s = upstream.m_cold_pacer.m_per_s;
+  return per_s <= 0 ? 0
+                    : std::clamp(static_cast<int>(per_s * service_ms / 1'000),
+                                 1, upstream.m_entry.m_slots);
+}
+
+int CountSlots(std::span<const UpstreamPtr> upstreams,
+               double service_ms,
+               Millis now) {
   int slots = 0;
   for (const UpstreamPtr& upstream : upstreams) {
     const bool is_usable =
         upstream->TakesRequests() &&
         IsHealthy(upstream->m_health, kFirstByteTimeout, now);
-    slots += is_usable ? upstream->m_entry.m_slots : 0;
+    slots += is_usable ? UsableSlots(*upstream, service_ms, now) : 0;
   }
   return slots;
 }
@@ -45,12 +60,17 @@
                             bool& has_untried) const {
   std::vector<CandidateLoad> loads =
       GetLoads(candidates, m_zone, MonotonicNow());
+  bool is_held = false;
   for (size_t i = 0; i < loads.size(); ++i) {
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
                                                  candidates[i]->m_entry.m_id);
     has_untried = has_untried || loads[i].m_usable;
+    is_held = is_held || loads[i].m_cold_held;
   }
   const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
+  if (!choice && is_held) {
+    CountMetric("bronzecross_cold_holds_total");
+  }
   return choice ? candidates[*choice] : nullptr;
 }
 
@@ -79,9 +99,13 @@
   // The load that other VM groups put on the remaining upstreams is unknown,
   // but an estimate is better than waiting.
   std::vector<UpstreamPtr> others;
-  if (upstream == nullptr) {
+  const Millis now = MonotonicNow();
+  if (upstream == nullptr || upstream->IsColdAt(now)) {
     others = SampleOtherUpstreams();
-    upstream = Pick(others, request, has_untried);
+    const UpstreamPtr other = Pick(others, request, has_untried);
+    if (other != nullptr && (upstream == nullptr || !other->IsColdAt(now))) {
+      upstream = other;
+    }
   }
   // Upstreams that were already tried are used again only if there is no other.
   if (upstream == nullptr && !has_untried && !request.m_excluded.empty()) {
@@ -95,6 +119,7 @@
   if (upstream == nullptr) {
     return nullptr;
   }
+  RecordColdSend(*upstream, now);
   ++upstream->m_online;
   m_upstreams.MarkInUse(upstream);
   m_on_placed(*upstream);
@@ -186,9 +211,11 @@
   });
   // The requests counted above are those of this VM's group, so they are
   // compared with the slots of its subset.
-  state.m_slots = CountSlots(m_upstreams.SubsetOf(m_service), now);
+  state.m_slots =
+      CountSlots(m_upstreams.SubsetOf(m_service), m_service_ms, now);
   if (state.m_slots == 0) {
-    state.m_slots = CountSlots(m_upstreams.OfService(m_service), now);
+    state.m_slots =
+        CountSlots(m_upstreams.OfService(m_service), m_service_ms, now);
   }
   state.m_service_ms = m_service_ms;
   return state;
--- a/packages/dispatch/upstream.cc
+++ b/packages/dispatch/upstream.cc
@@ -1,6 +1,7 @@
 #include "dispatch/upstream.h"
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "cluster/gossip_message.h"
 
 namespace bronzecross {
@@ -27,6 +28,13 @@
       {{"upstream", upstream.m_entry.m_id}});
 }
 
+void RecordColdSend(Upstream& upstream, Millis now) {
+  if (upstream.IsColdAt(now)) {
+    TakeColdToken(upstream.m_cold_pacer, now);
+    CountMetric("bronzecross_cold_sends_total");
+  }
+}
+
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events) {
   if (events == 0) {
     return;
@@ -64,6 +72,11 @@
     load.m_same_zone = upstream->m_entry.m_zone == zone;
     load.m_usable = upstream->TakesRequests() &&
                     IsHealthy(upstream->m_health, kFirstByteTimeout, now);
+    load.m_cold = upstream->IsColdAt(now);
+    if (load.m_cold && !HasColdToken(upstream->m_cold_pacer, now)) {
+      load.m_cold_held = load.m_usable;
+      load.m_usable = false;
+    }
     if (load.m_usable) {
       work_times.push_back(load.m_work_ms);
     }
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -14,6 +14,8 @@
 #include "dispatch/upstream_pace.h"
 #include "fleet/upstream_entry.h"
 #include "http1/connection_pool.h"
+#include "placement/cold_senders.h"
+#include "placement/cold_state.h"
 
 namespace bronzecross {
 
@@ -34,6 +36,10 @@
   // Whether this VM's group prefers it (upstream_subset.h).
   bool m_in_subset = true;
 
+  ColdLimits m_cold_limits;  // of its service
+  ColdState m_cold;
+  ColdPacer m_cold_pacer;
+
   ConnectionPool m_pool;
   UpstreamHealth m_health;
 
@@ -49,6 +55,7 @@
   // Whether m_pace holds the times of events rather than of requests.
   bool m_streams = false;
 
+  bool IsColdAt(Millis now) const { return IsCold(m_cold, m_cold_limits, now); }
   int Online() const { return m_online + m_peer_online; }
   int Batch() const { return m_batch + m_peer_batch; }
   int Urgent() const { return m_urgent + m_peer_urgent; }
@@ -62,6 +69,10 @@
 // Stops new requests to an upstream whose response says that it is leaving.
 void MarkLeaving(Upstream& upstream);
 
+// Counts a request that is placed at `upstream` against the rate of cold
+// upstreams, if it is cold.
+void RecordColdSend(Upstream& upstream, Millis now);
+
 // Adds the arrival of `events` events of one stream to the pace of `upstream`.
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events);
 // Adds the time of one request that isn't streamed. Ignored if the upstream
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -168,6 +168,10 @@
       if (m_fields.m_leaving) {
         MarkLeaving(*m_upstream);
       }
+      if (m_fields.m_cold_left && !IsStrayResponse(request.m_request_id)) {
+        RecordColdResponse(m_upstream->m_cold, *m_fields.m_cold_left,
+                           MonotonicNow());
+      }
       const bool is_interim = Head().m_status < kFirstSuccess;
       if (!is_interim && !IsStrayResponse(request.m_request_id)) {
         co_return CheckHead(request.m_request_id,
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -72,6 +72,8 @@
   if (is_same && upstream->m_entry.m_draining == entry->m_draining &&
       upstream->m_entry.m_slots == entry->m_slots &&
       upstream->m_entry.m_zone == entry->m_zone) {
+    upstream->m_entry.m_cold_left = entry->m_cold_left;
+    Apply(upstream);
     return;
   }
   Log(Severity::kInfo, LogPart::kUpstreams, "An upstream changed.",
@@ -82,14 +84,59 @@
        {"revision", item.m_revision}});
   if (is_same) {
     upstream->m_entry = *std::move(entry);
-    ApplyZone(*upstream);
+    Apply(upstream);
     return;
   }
   if (upstream != nullptr) {
     Deregister(upstream);
   }
   upstream = MakeUpstream(*std::move(entry));
+  ApplyLimits(*upstream);
+  ApplyZoneReturn(*upstream);
+  Apply(upstream);
+}
+
+void UpstreamTable::Apply(const UpstreamPtr& upstream) {
   ApplyZone(*upstream);
+  RecordColdEntry(upstream->m_cold, upstream->m_entry.m_cold_left,
+                  MonotonicNow());
+  m_cold_upstreams.Watch(upstream);
+}
+
+void UpstreamTable::ApplyLimits(Upstream& upstream) const {
+  const auto limits = m_cold_limits.find(upstream.m_entry.m_service);
+  upstream.m_cold_limits =
+      limits == m_cold_limits.end() ? ColdLimits() : limits->second;
+}
+
+void UpstreamTable::OnConfig(const FleetConfig& config) {
+  std::map<std::string, ColdLimits, std::less<>> limits;
+  for (const Service& service : config.m_services) {
+    if (service.m_cold_per_s > 0 && service.m_cold_time > Millis()) {
+      limits[service.m_name] = {service.m_cold_time, service.m_cold_per_s};
+    }
+  }
+  if (limits == m_cold_limits) {
+    return;
+  }
+  m_cold_limits = std::move(limits);
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    ApplyLimits(*entry->second);
+    m_cold_upstreams.Watch(entry->second);
+  }
+}
+
+void UpstreamTable::UpdateCold(const ClusterView& cluster,
+                               bool may_send,
+                               Millis now) {
+  if (m_cold_limits.empty()) {
+    return;
+  }
+  // A response may have said that its upstream is cold.
+  for (const UpstreamPtr& upstream : InUse()) {
+    m_cold_upstreams.Watch(upstream);
+  }
+  m_cold_upstreams.Update(cluster, may_send, now);
 }
 
 void UpstreamTable::ApplyZone(Upstream& upstream) const {
@@ -121,6 +168,21 @@
         {{"zone", zone}, {"ms", MonotonicNow() - since}});
     ApplyZones();
   }
+  // Also if this VM missed the beginning: the zone has been without requests.
+  m_zone_returns[std::string(zone)] = MonotonicNow();
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    if (entry->second->m_entry.m_zone == zone) {
+      ApplyZoneReturn(*entry->second);
+      m_cold_upstreams.Watch(entry->second);
+    }
+  }
+}
+
+void UpstreamTable::ApplyZoneReturn(Upstream& upstream) const {
+  const auto returned = m_zone_returns.find(upstream.m_entry.m_zone);
+  if (returned != m_zone_returns.end()) {
+    RecordZoneReturn(upstream.m_cold, upstream.m_cold_limits, returned->second);
+  }
 }
 
 void UpstreamTable::EndUnlistedEvacuations(
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -14,7 +14,9 @@
 
 #include "aio/waiter.h"
 #include "cluster/cluster_view.h"
+#include "dispatch/cold_upstreams.h"
 #include "dispatch/upstream.h"
+#include "fleet/fleet_config.h"
 #include "kv/kv_session.h"
 #include "placement/evacuated_zones.h"
 
@@ -22,7 +24,8 @@
 
 class UpstreamTable {
  public:
-  explicit UpstreamTable(const KvSession& kv) : m_kv(kv) {}
+  UpstreamTable(const KvSession& kv, PlacementSettings placement)
+      : m_kv(kv), m_cold_upstreams(placement) {}
 
   void OnSnapshot(std::span<const KvItem> items);
   void OnEvent(const KvEvent& event);
@@ -45,6 +48,12 @@
   void EndUnlistedEvacuations(std::span<const std::string_view> listed);
   const EvacuatedZones& Evacuations() const { return m_evacuated_zones; }
 
+  // Takes over which services have cold upstreams.
+  void OnConfig(const FleetConfig& config);
+  // Updates to which cold upstreams this VM sends requests; see ColdUpstreams.
+  // Must be called regularly.
+  void UpdateCold(const ClusterView& cluster, bool may_send, Millis now);
+
   bool IsLoaded() const { return m_loaded; }
   const std::vector<UpstreamPtr>& OfService(std::string_view service) const;
   // Returns the upstreams of a service that this VM prefers.
@@ -66,9 +75,13 @@
   // object of the same incarnation if that still has requests in flight, since
   // their responses may yet say that the upstream is leaving.
   UpstreamPtr MakeUpstream(UpstreamEntry entry);
-  // Applies what the zone of an upstream implies to it.
+  // Applies what an entry of the upstream that has just arrived implies.
+  void Apply(const UpstreamPtr& upstream);
+  // Applies what the evacuations, their ends and the configuration imply.
   void ApplyZone(Upstream& upstream) const;
   void ApplyZones();
+  void ApplyZoneReturn(Upstream& upstream) const;
+  void ApplyLimits(Upstream& upstream) const;
   void Remove(std::string_view id, bool may_reregister);
   void Drop(const std::string& id);
   void Index();
@@ -88,6 +101,11 @@
   std::string m_zone;
   bool m_subset_outdated = true;
   EvacuatedZones m_evacuated_zones;
+  // When the last evacuation of each zone ended.
+  std::map<std::string, Millis, std::less<>> m_zone_returns;
+  // The services with cold upstreams.
+  std::map<std::string, ColdLimits, std::less<>> m_cold_limits;
+  ColdUpstreams m_cold_upstreams;
   // Entries that expired around an outage of the store, and when they are
   // removed.
   std::map<std::string, Millis, std::less<>> m_postponed;
--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -59,6 +59,10 @@
   std::string m_name;
   int m_max_connections = 0;  // per upstream, from all VMs together
   bool m_is_engine = false;   // a model engine with batched slots
+  // How long an upstream is cold after its start, and the requests per second
+  // that it can serve meanwhile. Never cold if either is zero.
+  Millis m_cold_time;
+  double m_cold_per_s = 0;
 };
 
 struct Workspace {
--- a/packages/fleet/upstream_entry.h
+++ b/packages/fleet/upstream_entry.h
@@ -18,6 +18,7 @@
   std::string m_zone;
   int m_slots = 1;
   bool m_draining = false;
+  Millis m_cold_left;  // for how long it is cold; zero: it is warm
   // Unix time of the process's start. A restarted upstream keeps its id
   // but has no state of the requests that ran before.
   Millis m_started;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -306,6 +306,7 @@
     m_node.m_quotas.SetShareActive(
         has_settled && IsShareActive(is_lease_held, recently_seen, members),
         now);
+    m_node.m_upstreams.UpdateCold(m_node.m_cluster, is_lease_held, now);
     m_node.DispatchAll();
     co_await Sleep(kMaintenanceInterval);
   }
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -13,6 +13,10 @@
 constexpr int64_t kMinMs = 100;
 constexpr int64_t kMaxMs = 24 * 3'600'000;
 
+// Bounds of the settings for cold upstreams.
+constexpr double kMaxColdOver = 100;
+constexpr double kMaxColdSlack = 100'000;
+
 NetAddress ReadAddress(TomlTable& table, std::string_view name) {
   const std::string text = table.RequireString(name);
   if (text.empty()) {
@@ -26,6 +30,15 @@
   return *std::move(address);
 }
 
+void ReadPlacement(TomlTable placement, GatewaySettings& settings) {
+  PlacementSettings& read = settings.m_placement;
+  read.m_cold_over =
+      placement.GetDouble("cold_over", read.m_cold_over, 0, kMaxColdOver);
+  read.m_cold_slack =
+      placement.GetDouble("cold_slack", read.m_cold_slack, 0, kMaxColdSlack);
+  placement.Finish();
+}
+
 void ReadLog(TomlTable log, GatewaySettings& settings) {
   const Result<Severity> level = ParseSeverity(log.GetString("level", "info"));
   if (level) {
@@ -89,6 +102,7 @@
       limits.GetInt("result_retention_ms", settings.m_result_retention.count(),
                     kMinMs, kMaxMs));
   limits.Finish();
+  ReadPlacement(TomlTable(root.GetTable("placement"), faults), settings);
   ReadLog(TomlTable(root.GetTable("log"), faults), settings);
   root.Finish();
   if (!faults.empty()) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/net_address.h"
+#include "placement/placement_settings.h"
 
 namespace bronzecross {
 
@@ -26,6 +27,7 @@
   std::vector<NetAddress> m_seeds;
   Millis m_drain_limit{7'000};         // maximum duration of a stop
   Millis m_result_retention{120'000};  // of finished jobs, since submission
+  PlacementSettings m_placement;
   Severity m_log_level = Severity::kInfo;
   LogFormat m_log_format = LogFormat::kText;
 };
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -43,6 +43,20 @@
   CHECK(settings->m_drain_limit == Millis(7'000));
 }
 
+TEST_CASE("the settings of cold upstreams have the defaults of the platform") {
+  Result<GatewaySettings> settings = ParseGatewaySettings(kSettings, "s.toml");
+  REQUIRE(settings);
+  CHECK(settings->m_placement.m_cold_over == 1.5);
+  CHECK(settings->m_placement.m_cold_slack == 5);
+  const std::string text = std::string(kSettings) + "[placement]\n";
+  settings = ParseGatewaySettings(text + "cold_over = 2\ncold_slack = 3.5\n",
+                                  "s.toml");
+  REQUIRE(settings);
+  CHECK(settings->m_placement.m_cold_over == 2);
+  CHECK(settings->m_placement.m_cold_slack == 3.5);
+  CHECK_FALSE(ParseGatewaySettings(text + "cold_over = -1\n", "s.toml"));
+}
+
 TEST_CASE("invalid settings are rejected with file, line and reason") {
   std::string text = kSettings;
   text.replace(text.find("10.200.1.7:8408"), 15, "store.example:1");
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -33,7 +33,7 @@
       m_kv(m_settings.m_store, m_settings.m_store_history),
       m_cluster(MakeVmRecord(m_settings)),
       m_registration(m_kv, m_cluster.Self()),
-      m_upstreams(m_kv),
+      m_upstreams(m_kv, m_settings.m_placement),
       m_quotas(m_cluster, [this] { m_gossip->SendSoon(); }) {}
 
 Node::~Node() = default;
@@ -70,6 +70,7 @@
        {"routes", config->m_routes.size()},
        {"workspaces", config->m_workspaces.size()}});
   m_config = std::move(config);
+  m_upstreams.OnConfig(*m_config);
   m_configured.NotifyAll();
 }
 
--- a/packages/jobs/batch_capacity.cc
+++ b/packages/jobs/batch_capacity.cc
@@ -17,7 +17,7 @@
   }
   const int free = CountFreeBatchSlots(
       UpstreamCapacity{load.m_slots, load.m_online, load.m_batch});
-  return load.m_probe ? std::min(free, 1) : free;
+  return load.m_probe || load.m_cold ? std::min(free, 1) : free;
 }
 
 int ShareOfFreeSlots(int free, int own, int total, Random& random) {
@@ -30,6 +30,24 @@
   return std::min(static_cast<int>(whole) + extra, own);
 }
 
+std::vector<int> PlanItemStarts(std::span<const CandidateLoad> loads,
+                                int own,
+                                int total,
+                                Random& random) {
+  std::vector<int> starts(loads.size(), 0);
+  for (const bool is_cold : {false, true}) {
+    for (size_t i = 0; i < loads.size() && own > 0; ++i) {
+      if (loads[i].m_cold == is_cold) {
+        starts[i] =
+            ShareOfFreeSlots(CountFreeBatchSlots(loads[i]), own, total, random);
+        own -= starts[i];
+        total -= starts[i];
+      }
+    }
+  }
+  return starts;
+}
+
 int CountItemsToPreempt(const UpstreamCapacity& capacity,
                         std::string_view self,
                         std::span<const VmBatchItems> batches) {
--- a/packages/jobs/batch_capacity.h
+++ b/packages/jobs/batch_capacity.h
@@ -8,6 +8,7 @@
 
 #include <span>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/random.h"
@@ -32,7 +33,7 @@
 
 // Returns the number of slots of one upstream for further batch items. Batch
 // items go to a slow upstream only one at a time, to find out whether it has
-// recovered.
+// recovered, and to a cold one only one for each of its tokens.
 int CountFreeBatchSlots(const CandidateLoad& load);
 
 // Returns how many of `free` slots this VM takes. The VMs share them in
@@ -41,6 +42,14 @@
 // fraction.
 int ShareOfFreeSlots(int free, int own, int total, Random& random);
 
+// Returns the number of items to start at each of `loads`, in their order:
+// warm upstreams first, and one at a time at cold ones. `own` of `total`
+// waiting items are at this VM.
+std::vector<int> PlanItemStarts(std::span<const CandidateLoad> loads,
+                                int own,
+                                int total,
+                                Random& random);
+
 // Number of batch items that one VM runs at an upstream.
 struct VmBatchItems {
   std::string m_vm;
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -188,6 +188,7 @@
     run->m_item = best_item;
     run->m_upstream = upstream.shared_from_this();
     run->m_started = now;
+    RecordColdSend(upstream, now);
     ++upstream.m_batch;
     m_dependencies.m_upstreams.MarkInUse(run->m_upstream);
     Spawn(RunItemTask(run));
@@ -237,7 +238,7 @@
     const std::vector<CandidateLoad> loads = GetLoads(upstreams, "", now);
     int free = 0;
     for (const CandidateLoad& load : loads) {
-      free += load.m_probe ? 0 : CountFreeBatchSlots(load);
+      free += load.m_probe || load.m_cold ? 0 : CountFreeBatchSlots(load);
     }
     for (ItemRun& run : m_runs) {
       const auto found =
@@ -262,7 +263,7 @@
   const Millis now = MonotonicNow();
   for (const Service& service : config->m_services) {
     bool urgent = false;
-    int own = CountWaitingItems(service.m_name, urgent);
+    const int own = CountWaitingItems(service.m_name, urgent);
     const bool is_rising =
         m_dependencies.m_online_waiting(service.m_name) > 0 ||
         now - m_last_preemption < kPauseAfterPreemption;
@@ -272,11 +273,10 @@
     const int at_peers = CountWaitingAtPeers(service.m_name);
     const std::vector<UpstreamPtr>& upstreams = BatchCandidates(service.m_name);
     const std::vector<CandidateLoad> loads = GetLoads(upstreams, "", now);
-    for (size_t i = 0; i < upstreams.size() && own > 0; ++i) {
-      const int count = ShareOfFreeSlots(CountFreeBatchSlots(loads[i]), own,
-                                         own + at_peers, ThreadRandom());
-      StartItemsAt(*upstreams[i], service.m_name, count);
-      own -= count;
+    const std::vector<int> starts =
+        PlanItemStarts(loads, own, own + at_peers, ThreadRandom());
+    for (size_t i = 0; i < starts.size(); ++i) {
+      StartItemsAt(*upstreams[i], service.m_name, starts[i]);
     }
   }
 }
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -450,5 +450,19 @@
   CHECK(next->m_progress[1].m_output.empty());
 }
 
+// Guards against items that take the few requests of a cold upstream while warm
+// ones have free slots.
+TEST_CASE("items start at warm upstreams first, and singly at cold ones") {
+  Random random(1);
+  CandidateLoad warm;
+  warm.m_slots = 4;
+  CandidateLoad cold = warm;
+  cold.m_cold = true;
+  const std::vector<CandidateLoad> loads = {cold, warm, cold};
+  CHECK(PlanItemStarts(loads, 2, 2, random) == std::vector<int>{0, 2, 0});
+  CHECK(PlanItemStarts(loads, 9, 9, random) == std::vector<int>{1, 3, 1});
+  CHECK(PlanItemStarts(loads, 0, 5, random) == std::vector<int>{0, 0, 0});
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -89,6 +89,14 @@
   Publish(version);
 }
 
+void PlatformOperatorStandin::PublishCold(int version,
+                                          double cold_s,
+                                          double cold_per_s) {
+  m_config["services"][0]["coldS"] = cold_s;
+  m_config["services"][0]["coldPerS"] = cold_per_s;
+  Publish(version);
+}
+
 void PlatformOperatorStandin::Evacuate(const std::string& zone) {
   m_store.Put(Concat(kEvacuatePrefix, zone), "{}");
 }
--- a/standins/platform_operator_standin.h
+++ b/standins/platform_operator_standin.h
@@ -24,6 +24,8 @@
   // Each writes a whole configuration of the given version.
   void PublishKey(int version, const std::string& key);
   void PublishWaitingCap(int version, int64_t tokens);
+  // Sets the cold time and the cold rate of the engines.
+  void PublishCold(int version, double cold_s, double cold_per_s);
   // Evacuates an availability zone, and withdraws that.
   void Evacuate(const std::string& zone);
   void WithdrawEvacuation(const std::string& zone);
