--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -28,11 +28,6 @@
 constexpr Millis kSaveInterval{3'000};
 constexpr int64_t kMinSavedEvents = 60;
 
-// No item is started for this time after a preemption, unless a waiting item is
-// urgent: the online load is rising, and that of other VMs is known with a
-// delay.
-constexpr Millis kPauseAfterPreemption{200};
-
 // Milliseconds for one event of an inference engine without a measured value.
 constexpr double kDefaultEventMs = 32;
 
@@ -43,9 +38,6 @@
 // Wait for cancelled runs to end.
 constexpr Millis kCancelWait{10};
 
-// Items that are due within this time start even while online requests wait.
-constexpr Millis kUrgentBeforeDue{7'000};
-
 // Returns the number of results for the next group: as many as fit into
 // kMaxGroupBytes, at least one if there are any.
 size_t GroupSize(const std::vector<JobResult>& results) {
@@ -75,46 +67,6 @@
          m_ownership.IsCertain(job, boot_now);
 }
 
-int ItemScheduler::CountWaitingItems(std::string_view service,
-                                     bool& urgent) const {
-  const Millis now = MonotonicNow();
-  const Millis boot_now = BootNow();
-  const Millis wall = WallNow();
-  int count = 0;
-  for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
-       ++entry) {
-    const Job& job = *entry->second;
-    if (!MayStartItems(job, boot_now) || SelectServiceFor(job) != service) {
-      continue;
-    }
-    for (const ItemProgress& progress : job.m_progress) {
-      if (progress.m_phase == BatchItemPhase::kWaiting &&
-          progress.m_not_before <= now) {
-        ++count;
-        urgent = urgent || (job.m_spec.m_due - wall < kUrgentBeforeDue &&
-                            job.m_spec.m_due > wall);
-      }
-    }
-  }
-  return count;
-}
-
-int ItemScheduler::CountWaitingAtPeers(std::string_view service) const {
-  const uint32_t key = ShortHash(service);
-  const Millis now = MonotonicNow();
-  int count = 0;
-  m_dependencies.m_cluster.ForEachGroupPeer(
-      [&](std::string_view, const PeerVm& peer) {
-        if (!IsRecentlySeen(peer, now, kMaxGossipAge)) {
-          return;
-        }
-        for (const BatchBacklog& backlog : peer.m_gossip.m_backlogs) {
-          count += backlog.m_service == key ? backlog.m_items : 0;
-        }
-      });
-  return count;
-}
-
 ItemEstimate ItemScheduler::EstimateItem(const Job& job,
                                          size_t item,
                                          Millis wall) const {
@@ -148,53 +100,6 @@
   }
 }
 
-void ItemScheduler::StartItemsAt(Upstream& upstream,
-                                 std::string_view service,
-                                 int count) {
-  const Millis now = MonotonicNow();
-  const Millis boot_now = BootNow();
-  const Millis wall = WallNow();
-  for (; count > 0; --count) {
-    // The first item in the order of RunsBefore().
-    JobPtr best;
-    size_t best_item = 0;
-    Millis best_slack;
-    for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
-         ++entry) {
-      const JobPtr& job = entry->second;
-      if (!MayStartItems(*job, boot_now) || SelectServiceFor(*job) != service) {
-        continue;
-      }
-      for (size_t i = 0; i < job->m_progress.size(); ++i) {
-        if (job->m_progress[i].m_phase != BatchItemPhase::kWaiting ||
-            job->m_progress[i].m_not_before > now) {
-          continue;
-        }
-        const Millis slack = Slack(EstimateItem(*job, i, wall));
-        if (best == nullptr || RunsBefore(slack, best_slack)) {
-          best = job;
-          best_item = i;
-          best_slack = slack;
-        }
-      }
-    }
-    if (best == nullptr) {
-      return;
-    }
-    best->m_progress[best_item].m_phase = BatchItemPhase::kRunning;
-    m_runs.emplace_back();
-    const std::list<ItemRun>::iterator run = std::prev(m_runs.end());
-    run->m_job = best;
-    run->m_item = best_item;
-    run->m_upstream = upstream.shared_from_this();
-    run->m_started = now;
-    RecordColdSend(upstream, now);
-    ++upstream.m_batch;
-    m_dependencies.m_upstreams.MarkInUse(run->m_upstream);
-    Spawn(RunItemTask(run));
-  }
-}
-
 Task<> ItemScheduler::RunItemTask(std::list<ItemRun>::iterator run) {
   const JobPtr job = run->m_job;
   ItemLimits limits;
@@ -212,75 +117,6 @@
   m_work_changed.NotifyAll();
 }
 
-const std::vector<UpstreamPtr>& ItemScheduler::BatchCandidates(
-    std::string_view service) const {
-  const Millis now = MonotonicNow();
-  const std::vector<UpstreamPtr>& subset =
-      m_dependencies.m_upstreams.SubsetOf(service);
-  // The load that other VM groups put on the remaining upstreams is unknown, so
-  // those are used only if none of the subset is usable.
-  const bool has_usable = std::any_of(
-      subset.begin(), subset.end(), [now](const UpstreamPtr& upstream) {
-        return upstream->TakesRequests() &&
-               IsHealthy(upstream->m_health, kFirstByteTimeout, now);
-      });
-  return has_usable ? subset : m_dependencies.m_upstreams.OfService(service);
-}
-
-void ItemScheduler::MoveItemsFromSlowUpstreams() {
-  const FleetConfigPtr config = m_dependencies.m_config();
-  if (m_runs.empty() || m_draining || config == nullptr) {
-    return;
-  }
-  const Millis now = MonotonicNow();
-  for (const Service& service : config->m_services) {
-    const std::vector<UpstreamPtr>& upstreams = BatchCandidates(service.m_name);
-    const std::vector<CandidateLoad> loads = GetLoads(upstreams, "", now);
-    int free = 0;
-    for (const CandidateLoad& load : loads) {
-      free += load.m_probe || load.m_cold ? 0 : CountFreeBatchSlots(load);
-    }
-    for (ItemRun& run : m_runs) {
-      const auto found =
-          std::find(upstreams.begin(), upstreams.end(), run.m_upstream);
-      if (free > 0 && found != upstreams.end() && !run.m_cancel.IsCancelled() &&
-          loads[static_cast<size_t>(found - upstreams.begin())].m_slow) {
-        run.m_cancel.Cancel();
-        --free;
-      }
-    }
-  }
-}
-
-void ItemScheduler::StartItems() {
-  if (m_draining) {
-    return;
-  }
-  const FleetConfigPtr config = m_dependencies.m_config();
-  if (config == nullptr) {
-    return;
-  }
-  const Millis now = MonotonicNow();
-  for (const Service& service : config->m_services) {
-    bool urgent = false;
-    const int own = CountWaitingItems(service.m_name, urgent);
-    const bool is_rising =
-        m_dependencies.m_online_waiting(service.m_name) > 0 ||
-        now - m_last_preemption < kPauseAfterPreemption;
-    if (own == 0 || (!urgent && is_rising)) {
-      continue;
-    }
-    const int at_peers = CountWaitingAtPeers(service.m_name);
-    const std::vector<UpstreamPtr>& upstreams = BatchCandidates(service.m_name);
-    const std::vector<CandidateLoad> loads = GetLoads(upstreams, "", now);
-    const std::vector<int> starts =
-        PlanItemStarts(loads, own, own + at_peers, ThreadRandom());
-    for (size_t i = 0; i < starts.size(); ++i) {
-      StartItemsAt(*upstreams[i], service.m_name, starts[i]);
-    }
-  }
-}
-
 void ItemScheduler::PreemptItemAt(Upstream& upstream) {
   ItemRun* best = nullptr;
   for (ItemRun& run : m_runs) {
