Run requests only in the regions of their route and workspace

Operators have to keep the data of some routes and workspaces in given regions (allowedRegions), and requests ran at any upstream. The region of an upstream follows from its zone by the settings. GetLoads leaves out upstreams outside the lists, for online requests, resumed streams and batch items; a request without an upstream left is refused at once with 503. A VM outside the lists doesn't take over a job, whose route it reads from bx/open/ID; each region then chooses a VM for it. Store calls are relayed within the region while a list exists. A list that can't be read makes the configuration invalid.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -250,8 +250,16 @@
 
 std::string ClusterView::FirstResponsiveVmFor(std::string_view key,
                                               Millis now) const {
-  return FirstFor(key, [this, now](const PeerVm& peer) {
-    return IsPresent(peer, now) && !IsUnresponsive(peer, now);
+  return FirstResponsiveVmFor(key, now, [](std::string_view) { return true; });
+}
+
+std::string ClusterView::FirstResponsiveVmFor(
+    std::string_view key,
+    Millis now,
+    absl::FunctionRef<bool(std::string_view)> is_in_scope) const {
+  return FirstFor(key, [&](const PeerVm& peer) {
+    return IsPresent(peer, now) && !IsUnresponsive(peer, now) &&
+           is_in_scope(peer.m_record.m_zone);
   });
 }
 
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -100,6 +100,11 @@
   // Same as FirstVmFor(), but without unresponsive VMs. VMs may return
   // different results for a while.
   std::string FirstResponsiveVmFor(std::string_view key, Millis now) const;
+  // Same among this VM and those in zones for which `is_in_scope` is true.
+  std::string FirstResponsiveVmFor(
+      std::string_view key,
+      Millis now,
+      absl::FunctionRef<bool(std::string_view)> is_in_scope) const;
 
  private:
   void Put(const VmRecord& record);
--- a/packages/config/toml_table.cc
+++ b/packages/config/toml_table.cc
@@ -140,6 +140,14 @@
   return *node->as_table();
 }
 
+std::vector<std::string> TomlTable::GetNames() const {
+  std::vector<std::string> names;
+  for (auto entry = m_table.begin(); entry != m_table.end(); ++entry) {
+    names.emplace_back(entry->first.str());
+  }
+  return names;
+}
+
 std::vector<const toml::table*> TomlTable::GetTables(std::string_view name) {
   std::vector<const toml::table*> tables;
   const toml::node* node = Find(name);
--- a/packages/config/toml_table.h
+++ b/packages/config/toml_table.h
@@ -49,6 +49,8 @@
   std::vector<std::string> GetStrings(std::string_view name);
   // Returns the table `name`, or an empty one.
   const toml::table& GetTable(std::string_view name);
+  // Returns the names of all keys.
+  std::vector<std::string> GetNames() const;
   // Returns the tables of the array `name`, or none.
   std::vector<const toml::table*> GetTables(std::string_view name);
 
--- a/packages/dispatch/cold_upstreams_test.cc
+++ b/packages/dispatch/cold_upstreams_test.cc
@@ -91,6 +91,22 @@
   CHECK_FALSE(load.m_cold);
 }
 
+TEST_CASE("upstreams outside the regions of a request aren't usable for it") {
+  const UpstreamPtr upstream = MakeCold("i-1", "z0");
+  upstream->m_cold = ColdState();
+  const std::vector<UpstreamPtr> upstreams = {upstream};
+  const std::vector<std::string> homes = {"x"};
+  AllowedRegions allowed;
+  allowed.m_of_route = homes;
+  const Millis now = MonotonicNow();
+  CHECK(GetLoads(upstreams, "z0", now)[0].m_usable);
+  CHECK_FALSE(GetLoads(upstreams, "z0", now, allowed)[0].m_usable);
+  upstream->m_region = std::string("x");
+  CHECK(GetLoads(upstreams, "z0", now, allowed)[0].m_usable);
+  upstream->m_evacuated = true;
+  CHECK_FALSE(GetLoads(upstreams, "z0", now, allowed)[0].m_usable);
+}
+
 // Guards against callers that are sent to cold upstreams, or refused, while
 // warm ones in another zone have slots.
 TEST_CASE("warm upstreams of any zone and pace go before cold ones") {
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -59,7 +59,7 @@
                             const SlotRequest& request,
                             bool& has_untried) const {
   std::vector<CandidateLoad> loads =
-      GetLoads(candidates, m_zone, MonotonicNow());
+      GetLoads(candidates, m_zone, MonotonicNow(), request.m_regions);
   bool is_held = false;
   for (size_t i = 0; i < loads.size(); ++i) {
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
@@ -74,18 +74,21 @@
   return choice ? candidates[*choice] : nullptr;
 }
 
-std::vector<UpstreamPtr> SlotQueue::SampleOtherUpstreams() const {
+std::vector<UpstreamPtr> SlotQueue::SampleOtherUpstreams(
+    const AllowedRegions& regions) const {
   const std::vector<UpstreamPtr>& all = m_upstreams.OfService(m_service);
   std::vector<UpstreamPtr> sample;
   if (all.size() == m_upstreams.SubsetOf(m_service).size()) {
     return sample;
   }
   const size_t start = RandomBelow(ThreadRandom(), all.size());
-  for (size_t i = 0;
-       i < std::min(all.size(), kMaxExamined) && sample.size() < kMaxSample;
-       ++i) {
+  // Few of the upstreams may be in a region of the request.
+  const size_t examined =
+      regions.IsLimited() ? all.size() : std::min(all.size(), kMaxExamined);
+  for (size_t i = 0; i < examined && sample.size() < kMaxSample; ++i) {
     const UpstreamPtr& upstream = all[(start + i) % all.size()];
-    if (!upstream->m_in_subset) {
+    if (!upstream->m_in_subset &&
+        IsAllowedRegion(upstream->m_region, regions)) {
       sample.push_back(upstream);
     }
   }
@@ -101,7 +104,7 @@
   std::vector<UpstreamPtr> others;
   const Millis now = MonotonicNow();
   if (upstream == nullptr || upstream->IsColdAt(now)) {
-    others = SampleOtherUpstreams();
+    others = SampleOtherUpstreams(request.m_regions);
     const UpstreamPtr other = Pick(others, request, has_untried);
     if (other != nullptr && (upstream == nullptr || !other->IsColdAt(now))) {
       upstream = other;
@@ -126,13 +129,16 @@
   return upstream;
 }
 
-bool SlotQueue::IsBarred() const {
-  if (m_upstreams.Evacuations().Count() == 0) {
+bool SlotQueue::IsBarred(const SlotRequest& request) const {
+  const bool is_limited = request.m_regions.IsLimited();
+  if (m_upstreams.Evacuations().Count() == 0 && !is_limited) {
     return false;
   }
-  bool is_barred = false;
+  bool is_barred = is_limited;
   for (const UpstreamPtr& upstream : m_upstreams.OfService(m_service)) {
-    if (upstream->TakesRequests()) {
+    const bool is_allowed =
+        IsAllowedRegion(upstream->m_region, request.m_regions);
+    if (is_allowed && upstream->TakesRequests()) {
       return false;
     }
     is_barred = is_barred || upstream->m_evacuated;
@@ -148,7 +154,7 @@
       co_return upstream;
     }
   }
-  if (IsBarred()) {
+  if (IsBarred(request)) {
     co_return nullptr;
   }
   Waiting waiting;
@@ -187,10 +193,11 @@
     waiting->m_assigned = TryPlace(waiting->m_request);
     if (waiting->m_assigned != nullptr) {
       waiting->m_done.NotifyAll();
-    } else if (IsBarred()) {
+    } else if (IsBarred(waiting->m_request)) {
       waiting->m_refused = true;
       waiting->m_done.NotifyAll();
-    } else if (waiting->m_request.m_excluded.empty()) {
+    } else if (waiting->m_request.m_excluded.empty() &&
+               !waiting->m_request.m_regions.IsLimited()) {
       return;
     }
   }
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -23,6 +23,8 @@
   QueuedRequest m_order;
   // Ids of the upstreams where earlier attempts failed.
   std::set<std::string, std::less<>> m_excluded;
+  // Where it may run. The caller keeps the configuration that owns the lists.
+  AllowedRegions m_regions;
   // The request is no longer queued after this instant.
   Millis m_wait_deadline;
 };
@@ -69,11 +71,13 @@
   UpstreamPtr Pick(std::span<const UpstreamPtr> candidates,
                    const SlotRequest& request,
                    bool& has_untried) const;
-  // Returns some of the upstreams that this VM doesn't prefer.
-  std::vector<UpstreamPtr> SampleOtherUpstreams() const;
-  // Whether evacuations leave no upstream for the request. It would wait in
-  // vain.
-  bool IsBarred() const;
+  // Returns some of the upstreams that this VM doesn't prefer and where a
+  // request with these limits may run.
+  std::vector<UpstreamPtr> SampleOtherUpstreams(
+      const AllowedRegions& regions) const;
+  // Whether evacuations or its regions leave no upstream for the request. It
+  // would wait in vain.
+  bool IsBarred(const SlotRequest& request) const;
   UpstreamPtr TryPlace(const SlotRequest& request);
 
   std::string m_service;
--- a/packages/dispatch/upstream.cc
+++ b/packages/dispatch/upstream.cc
@@ -59,7 +59,8 @@
 
 std::vector<CandidateLoad> GetLoads(std::span<const UpstreamPtr> upstreams,
                                     std::string_view zone,
-                                    Millis now) {
+                                    Millis now,
+                                    const AllowedRegions& regions) {
   std::vector<CandidateLoad> loads;
   std::vector<double> work_times;
   for (const UpstreamPtr& upstream : upstreams) {
@@ -71,7 +72,8 @@
     load.m_work_ms = CurrentWorkMs(upstream->m_pace, now);
     load.m_same_zone = upstream->m_entry.m_zone == zone;
     load.m_usable = upstream->TakesRequests() &&
-                    IsHealthy(upstream->m_health, kFirstByteTimeout, now);
+                    IsHealthy(upstream->m_health, kFirstByteTimeout, now) &&
+                    IsAllowedRegion(upstream->m_region, regions);
     load.m_cold = upstream->IsColdAt(now);
     if (load.m_cold && !HasColdToken(upstream->m_cold_pacer, now)) {
       load.m_cold_held = load.m_usable;
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -16,6 +16,7 @@
 #include "http1/connection_pool.h"
 #include "placement/cold_senders.h"
 #include "placement/cold_state.h"
+#include "placement/home_regions.h"
 
 namespace bronzecross {
 
@@ -36,6 +37,7 @@
   // Whether this VM's group prefers it (upstream_subset.h).
   bool m_in_subset = true;
 
+  std::string m_region;      // of its zone; empty: none
   ColdLimits m_cold_limits;  // of its service
   ColdState m_cold;
   ColdPacer m_cold_pacer;
@@ -80,10 +82,12 @@
 void RecordRequestTime(Upstream& upstream, Millis time);
 
 // Returns the load of each upstream, and which of them are slow compared with
-// the others. `zone` is the availability zone of this VM.
+// the others. `zone` is the availability zone of this VM. Upstreams outside
+// `regions` are not usable.
 std::vector<CandidateLoad> GetLoads(std::span<const UpstreamPtr> upstreams,
                                     std::string_view zone,
-                                    Millis now);
+                                    Millis now,
+                                    const AllowedRegions& regions = {});
 
 }  // namespace bronzecross
 
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -37,6 +37,26 @@
 
 }  // namespace
 
+std::string_view CallStateName(CallState state) {
+  switch (state) {
+    case CallState::kResponded:
+      return "answered";
+    case CallState::kNotRun:
+      return "not_run";
+    case CallState::kUnsendable:
+      return "unsendable";
+    case CallState::kBroken:
+      return "broken";
+    case CallState::kUnresponsive:
+      return "silent";
+    case CallState::kCancelled:
+      return "cancelled";
+    case CallState::kTimedOut:
+      return "timed_out";
+  }
+  return "";
+}
+
 UpstreamCall::UpstreamCall(UpstreamPtr upstream, Cancellation& cancellation)
     : m_upstream(std::move(upstream)), m_cancellation(cancellation) {}
 
--- a/packages/dispatch/upstream_call.h
+++ b/packages/dispatch/upstream_call.h
@@ -24,6 +24,9 @@
   kTimedOut,      // the deadline passed
 };
 
+// Returns the name of `state` in logs.
+std::string_view CallStateName(CallState state);
+
 struct UpstreamRequest {
   const MessageHead* m_head = nullptr;  // as sent to the upstream
   std::string_view m_body;
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -141,6 +141,7 @@
 
 void UpstreamTable::ApplyZone(Upstream& upstream) const {
   upstream.m_evacuated = m_evacuated_zones.Contains(upstream.m_entry.m_zone);
+  upstream.m_region = RegionOfZone(upstream.m_entry.m_zone, m_placement);
 }
 
 void UpstreamTable::ApplyZones() {
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -25,7 +25,7 @@
 class UpstreamTable {
  public:
   UpstreamTable(const KvSession& kv, PlacementSettings placement)
-      : m_kv(kv), m_cold_upstreams(placement) {}
+      : m_kv(kv), m_placement(placement), m_cold_upstreams(placement) {}
 
   void OnSnapshot(std::span<const KvItem> items);
   void OnEvent(const KvEvent& event);
@@ -87,6 +87,7 @@
   void Index();
 
   const KvSession& m_kv;
+  const PlacementSettings m_placement;
   bool m_loaded = false;
   std::map<std::string, UpstreamPtr, std::less<>> m_by_id;
   std::map<std::string, std::vector<UpstreamPtr>, std::less<>> m_by_service;
--- a/packages/fleet/fleet_config.cc
+++ b/packages/fleet/fleet_config.cc
@@ -14,9 +14,12 @@
     routes.m_longest_prefix =
         std::max(routes.m_longest_prefix, route.m_prefix.size());
     config.m_route_by_name.emplace(route.m_name, &route);
+    config.m_has_homes = config.m_has_homes || !route.m_allowed_regions.empty();
   }
   for (const Workspace& workspace : config.m_workspaces) {
     config.m_workspace_by_name.emplace(workspace.m_name, &workspace);
+    config.m_has_homes =
+        config.m_has_homes || !workspace.m_allowed_regions.empty();
     for (const std::string& key : workspace.m_keys) {
       config.m_by_key.emplace(key, &workspace);
     }
--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -43,6 +43,8 @@
   int m_priority = 0;       // 0 is the highest
   bool m_public = false;    // requires no API key
   bool m_resumable = false;
+  // Regions in which its requests may run; empty: all.
+  std::vector<std::string> m_allowed_regions;
   // Batch routes only.
   Millis m_due;        // time from submission until all results are due
   Millis m_retention;  // time from submission until items may be deleted
@@ -71,6 +73,8 @@
   double m_rate_per_s = 0;  // 0: no limit
   double m_burst = 0;
   int m_priority = -1;  // overrides the route's priority; -1: not set
+  // Regions in which its requests may run; empty: all.
+  std::vector<std::string> m_allowed_regions;
 };
 
 struct CallerLimits {
@@ -93,6 +97,10 @@
   std::vector<Workspace> m_workspaces;
   CallerLimits m_limits;
 
+  // Whether a route or a workspace limits its requests to regions; set by
+  // IndexConfig().
+  bool m_has_homes = false;
+
   // Indexes built by IndexConfig(). A look-up takes the same time with ten
   // routes and with ten thousand.
   absl::flat_hash_map<std::string, HostRoutes> m_by_host;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "gateway/caller_connection.h"
 #include "gateway/peer_server.h"
+#include "placement/home_regions.h"
 #include "platform/keys.h"
 #include "quota/token_sharing.h"
 
@@ -136,17 +137,17 @@
       m_vm_follower(m_node.m_kv, std::string(kVmPrefix), VmHandlers()),
       m_peer_calls(m_node.m_cluster),
       m_gossip(m_node),
-      m_jobs(JobDependencies{m_node.m_kv, m_node.m_cluster, m_node.m_upstreams,
-                             [this] { return m_node.m_config; },
-                             [this](std::string_view service) {
-                               const auto found = m_node.m_queues.find(service);
-                               return found == m_node.m_queues.end()
-                                          ? 0
-                                          : found->second.GetState().m_waiting;
-                             },
-                             [this] { return m_hears_fleet; },
-                             [this] { m_gossip.SendSoon(); },
-                             m_node.m_settings.m_result_retention}),
+      m_jobs(JobDependencies{
+          m_node.m_kv, m_node.m_cluster, m_node.m_upstreams,
+          [this] { return m_node.m_config; },
+          [this](std::string_view service) {
+            const auto found = m_node.m_queues.find(service);
+            return found == m_node.m_queues.end()
+                       ? 0
+                       : found->second.GetState().m_waiting;
+          },
+          [this] { return m_hears_fleet; }, [this] { m_gossip.SendSoon(); },
+          m_node.m_settings.m_placement, m_node.m_settings.m_result_retention}),
       m_reload(std::move(reload)) {
   m_node.m_gossip = &m_gossip;
   m_node.m_jobs = &m_jobs;
@@ -160,6 +161,13 @@
   m_upstream_follower.SetSource(&m_peer_calls, WatchLevels::kFleetAndGroups);
   m_vm_follower.SetSource(&m_peer_calls, WatchLevels::kFleetAndGroups);
   m_node.m_kv.SetRelay(&m_peer_calls);
+  // A region that isn't a home must not get the body of a batch job.
+  m_peer_calls.SetRelayScope([this](std::string_view zone) {
+    const PlacementSettings& placement = m_node.m_settings.m_placement;
+    return m_node.m_config == nullptr || !m_node.m_config->m_has_homes ||
+           RegionOfZone(zone, placement) ==
+               OwnRegion(m_node.m_settings.m_zone, placement);
+  });
 }
 
 Gateway::~Gateway() = default;
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -30,12 +30,19 @@
   return *std::move(address);
 }
 
-void ReadPlacement(TomlTable placement, GatewaySettings& settings) {
+void ReadPlacement(TomlTable placement,
+                   TomlErrors& faults,
+                   GatewaySettings& settings) {
   PlacementSettings& read = settings.m_placement;
   read.m_cold_over =
       placement.GetDouble("cold_over", read.m_cold_over, 0, kMaxColdOver);
   read.m_cold_slack =
       placement.GetDouble("cold_slack", read.m_cold_slack, 0, kMaxColdSlack);
+  read.m_region = placement.GetString("region", "");
+  TomlTable zones(placement.GetTable("zone_regions"), faults);
+  for (const std::string& zone : zones.GetNames()) {
+    read.m_zone_regions[zone] = zones.RequireString(zone);
+  }
   placement.Finish();
 }
 
@@ -102,7 +109,8 @@
       limits.GetInt("result_retention_ms", settings.m_result_retention.count(),
                     kMinMs, kMaxMs));
   limits.Finish();
-  ReadPlacement(TomlTable(root.GetTable("placement"), faults), settings);
+  ReadPlacement(TomlTable(root.GetTable("placement"), faults), faults,
+                settings);
   ReadLog(TomlTable(root.GetTable("log"), faults), settings);
   root.Finish();
   if (!faults.empty()) {
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -43,7 +43,7 @@
   CHECK(settings->m_drain_limit == Millis(7'000));
 }
 
-TEST_CASE("the settings of cold upstreams have the defaults of the platform") {
+TEST_CASE("the settings of placement are read and have defaults") {
   Result<GatewaySettings> settings = ParseGatewaySettings(kSettings, "s.toml");
   REQUIRE(settings);
   CHECK(settings->m_placement.m_cold_over == 1.5);
@@ -55,6 +55,14 @@
   CHECK(settings->m_placement.m_cold_over == 2);
   CHECK(settings->m_placement.m_cold_slack == 3.5);
   CHECK_FALSE(ParseGatewaySettings(text + "cold_over = -1\n", "s.toml"));
+  settings = ParseGatewaySettings(
+      text + "region = \"x\"\n[placement.zone_regions]\n\"z-1\" = \"x\"\n",
+      "s.toml");
+  REQUIRE(settings);
+  CHECK(settings->m_placement.m_region == "x");
+  CHECK(settings->m_placement.m_zone_regions.at("z-1") == "x");
+  CHECK_FALSE(ParseGatewaySettings(text + "[placement.zone_regions]\nz = 1\n",
+                                   "s.toml"));
 }
 
 TEST_CASE("invalid settings are rejected with file, line and reason") {
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -51,26 +51,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kOkStatus = 200;
 
-std::string_view StateName(CallState state) {
-  switch (state) {
-    case CallState::kResponded:
-      return "answered";
-    case CallState::kNotRun:
-      return "not_run";
-    case CallState::kUnsendable:
-      return "unsendable";
-    case CallState::kBroken:
-      return "broken";
-    case CallState::kUnresponsive:
-      return "silent";
-    case CallState::kCancelled:
-      return "cancelled";
-    case CallState::kTimedOut:
-      return "timed_out";
-  }
-  return "";
-}
-
 // Counts the bytes of one buffered response in the total of the VM.
 class BufferedBytes {
  public:
@@ -172,6 +152,7 @@
       now + MaxQueueWait(queue.GetState(), time_left,
                          m_request.m_route->m_latency_target);
   slot.m_excluded = m_excluded;
+  slot.m_regions = AllowedRegionsOf(*m_request.m_route, workspace);
   return slot;
 }
 
@@ -536,7 +517,7 @@
   Log(Severity::kInfo, LogPart::kRouting, "Tried an upstream.",
       {{"request", m_request.m_fields.m_request_id},
        {"upstream", upstream.m_entry.m_id},
-       {"state", StateName(state)},
+       {"state", CallStateName(state)},
        {"status", status},
        {"online", upstream.m_online},
        {"batch", upstream.m_batch},
--- a/packages/gateway/peer_calls.cc
+++ b/packages/gateway/peer_calls.cc
@@ -103,6 +103,7 @@
     const auto failed = m_failed_relays.find(entry->first);
     if (IsRecentlySeen(peer, now, kMaxGossipAge) &&
         peer.m_gossip.m_reaches_store &&
+        m_is_in_relay_scope(peer.m_record.m_zone) &&
         (failed == m_failed_relays.end() || failed->second <= now)) {
       peers.push_back(entry->first);
     }
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -6,6 +6,7 @@
 #ifndef BRONZECROSS_GATEWAY_PEER_CALLS_H_
 #define BRONZECROSS_GATEWAY_PEER_CALLS_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -65,6 +66,12 @@
                                           WholeRequest request,
                                           Millis deadline);
 
+  // Relays store calls only through peers in zones for which `is_in_scope` is
+  // true: they carry the bodies of batch jobs.
+  void SetRelayScope(std::function<bool(std::string_view)> is_in_scope) {
+    m_is_in_relay_scope = std::move(is_in_scope);
+  }
+
   // Returns whether a recently seen peer reaches the store directly.
   bool CanRelay() const override;
   // Relays a store call through one of the peers. Tries them one after the
@@ -98,6 +105,8 @@
   ConnectionPool& PoolOf(const NetAddress& address);
 
   const ClusterView& m_cluster;
+  std::function<bool(std::string_view)> m_is_in_relay_scope =
+      [](std::string_view) { return true; };
   std::map<std::string, std::unique_ptr<ConnectionPool>> m_pools;
   // The peer that relayed the last call successfully. It is tried first.
   std::string m_last_relay_peer;
--- a/packages/jobs/item_scheduler.h
+++ b/packages/jobs/item_scheduler.h
@@ -74,16 +74,35 @@
   void ConfirmJobs();
   // Starts the writes of results and partial outputs that are due.
   void StartCommits();
-  void StartItemsAt(Upstream& upstream, std::string_view service, int count);
-  // Returns the upstreams of a service that may run items.
+  // Returns where the items of the job may run. `config` owns the lists.
+  AllowedRegions RegionsOf(const Job& job, const FleetConfig& config) const;
+  // Returns the different limits of the open jobs.
+  std::vector<AllowedRegions> RegionsOfJobs(const FleetConfig& config) const;
+  // Starts items of jobs with these limits. `own` of them wait at this VM.
+  void StartItemsIn(const AllowedRegions& regions,
+                    std::string_view service,
+                    const FleetConfig& config,
+                    int own);
+  // Starts up to `count` items of jobs with these limits at `upstream`.
+  void StartItemsAt(Upstream& upstream,
+                    std::string_view service,
+                    const AllowedRegions& regions,
+                    const FleetConfig& config,
+                    int count);
+  // Returns the upstreams of a service that may run items with these limits.
   const std::vector<UpstreamPtr>& BatchCandidates(
-      std::string_view service) const;
+      std::string_view service,
+      const AllowedRegions& regions) const;
   // Cancels the runs at slow upstreams for which others have free slots. The
   // items resume there.
   void MoveItemsFromSlowUpstreams();
-  // Returns the number of items that are ready to run. Sets `urgent` if one of
-  // them is due within kUrgentBeforeDue.
+  // Returns the number of items that are ready to run, of all jobs or of those
+  // with these limits. Sets `urgent` if one of them is due within
+  // kUrgentBeforeDue.
   int CountWaitingItems(std::string_view service, bool& urgent) const;
+  int CountWaitingItemsIn(const AllowedRegions& regions,
+                          std::string_view service,
+                          const FleetConfig& config) const;
   // Returns the number of waiting items that the other VMs have announced.
   int CountWaitingAtPeers(std::string_view service) const;
   // Picks one of the services of the job's route at random by their weights.
--- a/packages/jobs/item_starts.cc
+++ b/packages/jobs/item_starts.cc
@@ -44,6 +44,58 @@
   return count;
 }
 
+AllowedRegions ItemScheduler::RegionsOf(const Job& job,
+                                        const FleetConfig& config) const {
+  const Route* route = FindRouteByName(config, job.m_spec.m_route);
+  return route == nullptr
+             ? AllowedRegions()
+             : AllowedRegionsOf(
+                   *route, FindWorkspaceByName(config, job.m_spec.m_workspace));
+}
+
+std::vector<AllowedRegions> ItemScheduler::RegionsOfJobs(
+    const FleetConfig& config) const {
+  std::vector<AllowedRegions> all;
+  for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
+       ++entry) {
+    if (!entry->second->IsOpen()) {
+      continue;
+    }
+    const AllowedRegions regions = RegionsOf(*entry->second, config);
+    const bool is_known = std::any_of(all.begin(), all.end(),
+                                      [&regions](const AllowedRegions& known) {
+                                        return HasSameRegions(known, regions);
+                                      });
+    if (!is_known) {
+      all.push_back(regions);
+    }
+  }
+  return all;
+}
+
+int ItemScheduler::CountWaitingItemsIn(const AllowedRegions& regions,
+                                       std::string_view service,
+                                       const FleetConfig& config) const {
+  const Millis now = MonotonicNow();
+  const Millis boot_now = BootNow();
+  int count = 0;
+  for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
+       ++entry) {
+    const Job& job = *entry->second;
+    if (!MayStartItems(job, boot_now) || SelectServiceFor(job) != service ||
+        !HasSameRegions(RegionsOf(job, config), regions)) {
+      continue;
+    }
+    for (const ItemProgress& progress : job.m_progress) {
+      count += progress.m_phase == BatchItemPhase::kWaiting &&
+                       progress.m_not_before <= now
+                   ? 1
+                   : 0;
+    }
+  }
+  return count;
+}
+
 int ItemScheduler::CountWaitingAtPeers(std::string_view service) const {
   const uint32_t key = ShortHash(service);
   const Millis now = MonotonicNow();
@@ -62,6 +114,8 @@
 
 void ItemScheduler::StartItemsAt(Upstream& upstream,
                                  std::string_view service,
+                                 const AllowedRegions& regions,
+                                 const FleetConfig& config,
                                  int count) {
   const Millis now = MonotonicNow();
   const Millis boot_now = BootNow();
@@ -74,7 +128,8 @@
     for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
          ++entry) {
       const JobPtr& job = entry->second;
-      if (!MayStartItems(*job, boot_now) || SelectServiceFor(*job) != service) {
+      if (!MayStartItems(*job, boot_now) || SelectServiceFor(*job) != service ||
+          !HasSameRegions(RegionsOf(*job, config), regions)) {
         continue;
       }
       for (size_t i = 0; i < job->m_progress.size(); ++i) {
@@ -108,15 +163,17 @@
 }
 
 const std::vector<UpstreamPtr>& ItemScheduler::BatchCandidates(
-    std::string_view service) const {
+    std::string_view service,
+    const AllowedRegions& regions) const {
   const Millis now = MonotonicNow();
   const std::vector<UpstreamPtr>& subset =
       m_dependencies.m_upstreams.SubsetOf(service);
   // The load that other VM groups put on the remaining upstreams is unknown, so
   // those are used only if none of the subset is usable.
   const bool has_usable = std::any_of(
-      subset.begin(), subset.end(), [now](const UpstreamPtr& upstream) {
+      subset.begin(), subset.end(), [&](const UpstreamPtr& upstream) {
         return upstream->TakesRequests() &&
+               IsAllowedRegion(upstream->m_region, regions) &&
                IsHealthy(upstream->m_health, kFirstByteTimeout, now);
       });
   return has_usable ? subset : m_dependencies.m_upstreams.OfService(service);
@@ -129,7 +186,8 @@
   }
   const Millis now = MonotonicNow();
   for (const Service& service : config->m_services) {
-    const std::vector<UpstreamPtr>& upstreams = BatchCandidates(service.m_name);
+    const std::vector<UpstreamPtr>& upstreams =
+        BatchCandidates(service.m_name, AllowedRegions());
     const std::vector<CandidateLoad> loads = GetLoads(upstreams, "", now);
     int free = 0;
     for (const CandidateLoad& load : loads) {
@@ -138,8 +196,10 @@
     for (ItemRun& run : m_runs) {
       const auto found =
           std::find(upstreams.begin(), upstreams.end(), run.m_upstream);
+      // The free slots may be in regions where the item must not run.
       if (free > 0 && found != upstreams.end() && !run.m_cancel.IsCancelled() &&
-          loads[static_cast<size_t>(found - upstreams.begin())].m_slow) {
+          loads[static_cast<size_t>(found - upstreams.begin())].m_slow &&
+          !RegionsOf(*run.m_job, *config).IsLimited()) {
         run.m_cancel.Cancel();
         --free;
       }
@@ -147,6 +207,21 @@
   }
 }
 
+void ItemScheduler::StartItemsIn(const AllowedRegions& regions,
+                                 std::string_view service,
+                                 const FleetConfig& config,
+                                 int own) {
+  const int at_peers = CountWaitingAtPeers(service);
+  const std::vector<UpstreamPtr>& upstreams = BatchCandidates(service, regions);
+  const std::vector<CandidateLoad> loads =
+      GetLoads(upstreams, "", MonotonicNow(), regions);
+  const std::vector<int> starts =
+      PlanItemStarts(loads, own, own + at_peers, ThreadRandom());
+  for (size_t i = 0; i < starts.size(); ++i) {
+    StartItemsAt(*upstreams[i], service, regions, config, starts[i]);
+  }
+}
+
 void ItemScheduler::StartItems() {
   if (m_draining) {
     return;
@@ -165,13 +240,13 @@
     if (own == 0 || (!urgent && is_rising)) {
       continue;
     }
-    const int at_peers = CountWaitingAtPeers(service.m_name);
-    const std::vector<UpstreamPtr>& upstreams = BatchCandidates(service.m_name);
-    const std::vector<CandidateLoad> loads = GetLoads(upstreams, "", now);
-    const std::vector<int> starts =
-        PlanItemStarts(loads, own, own + at_peers, ThreadRandom());
-    for (size_t i = 0; i < starts.size(); ++i) {
-      StartItemsAt(*upstreams[i], service.m_name, starts[i]);
+    if (!config->m_has_homes) {
+      StartItemsIn(AllowedRegions(), service.m_name, *config, own);
+      continue;
+    }
+    for (const AllowedRegions& regions : RegionsOfJobs(*config)) {
+      StartItemsIn(regions, service.m_name, *config,
+                   CountWaitingItemsIn(regions, service.m_name, *config));
     }
   }
 }
--- a/packages/jobs/job_claims.cc
+++ b/packages/jobs/job_claims.cc
@@ -83,7 +83,8 @@
     const ClusterView& cluster,
     Millis now,
     absl::FunctionRef<bool()> is_scanner,
-    absl::FunctionRef<bool(std::string_view)> runs_here) const {
+    absl::FunctionRef<bool(std::string_view)> runs_here,
+    absl::FunctionRef<bool(std::string_view)> is_in_scope) const {
   const VmRecord& self = cluster.Self();
   std::vector<std::string> orphans;
   for (auto entry = m_claims.begin(); entry != m_claims.end(); ++entry) {
@@ -102,10 +103,10 @@
     const bool is_abandoned =
         cluster.IsLost(claim.m_owner, claim.m_owner_incarnation, now) ||
         IsForgotten(claim, cluster);
-    if (is_abandoned &&
-        (claim.m_watched ||
-         cluster.FirstResponsiveVmFor(entry->first, now) == self.m_id ||
-         is_scanner())) {
+    if (is_abandoned && (claim.m_watched ||
+                         cluster.FirstResponsiveVmFor(
+                             entry->first, now, is_in_scope) == self.m_id ||
+                         is_scanner())) {
       orphans.push_back(entry->first);
     }
   }
--- a/packages/jobs/job_claims.h
+++ b/packages/jobs/job_claims.h
@@ -42,6 +42,11 @@
 // the job and hasn't done so.
 bool IsForgotten(const JobClaim& claim, const ClusterView& cluster);
 
+// The scope of all VMs.
+inline bool IsAnyZone(std::string_view) {
+  return true;
+}
+
 class JobClaims {
  public:
   // Adds a claim, or replaces one with a lower or the same revision. What is
@@ -59,12 +64,14 @@
   // although `runs_here` is false, as after a takeover whose effect it didn't
   // learn of. The job id determines the VM that takes a job over. As that VM
   // may not know of the job, a VM that watches the job takes it over, too, and
-  // so does the VM that scans the store for the fleet.
+  // so does the VM that scans the store for the fleet. Only this VM and VMs in
+  // zones for which `is_in_scope` is true are considered.
   std::vector<std::string> FindOrphans(
       const ClusterView& cluster,
       Millis now,
       absl::FunctionRef<bool()> is_scanner,
-      absl::FunctionRef<bool(std::string_view)> runs_here) const;
+      absl::FunctionRef<bool(std::string_view)> runs_here,
+      absl::FunctionRef<bool(std::string_view)> is_in_scope = IsAnyZone) const;
 
  private:
   std::map<std::string, JobClaim, std::less<>> m_claims;
--- a/packages/jobs/job_dependencies.h
+++ b/packages/jobs/job_dependencies.h
@@ -10,6 +10,7 @@
 #include "dispatch/upstream_table.h"
 #include "fleet/fleet_config.h"
 #include "kv/kv_session.h"
+#include "placement/placement_settings.h"
 
 namespace bronzecross {
 
@@ -27,6 +28,7 @@
   std::function<bool()> m_hears_fleet;
   // Sends gossip to the other VMs at once, ahead of the regular interval.
   std::function<void()> m_send_gossip;
+  PlacementSettings m_placement;
   // How long finished jobs are kept, counted from their submission.
   Millis m_retention;
 };
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -92,7 +92,7 @@
   transaction.m_puts.push_back({JobSpecKey(id), EncodeJobSpec(job.m_spec), 0});
   transaction.m_puts.push_back({JobStateKey(id), EncodeJobState(state), 0});
   if (phase == JobPhase::kOpen) {
-    transaction.m_puts.push_back({OpenJobKey(id), "1", 0});
+    transaction.m_puts.push_back({OpenJobKey(id), job.m_spec.m_route, 0});
   }
   Result<KvOutcome> outcome = co_await m_kv.Transact(std::move(transaction));
   co_return outcome;
@@ -106,7 +106,7 @@
   KvTransaction transaction;
   transaction.m_conditions.push_back({JobStateKey(id), revision});
   transaction.m_puts.push_back({JobStateKey(id), EncodeJobState(state), 0});
-  transaction.m_puts.push_back({OpenJobKey(id), "1", 0});
+  transaction.m_puts.push_back({OpenJobKey(id), job.m_spec.m_route, 0});
   Result<KvOutcome> outcome = co_await m_kv.Transact(std::move(transaction));
   co_return outcome;
 }
@@ -378,6 +378,14 @@
   co_return DecodeJobSnapshot(id, page->m_items);
 }
 
+Task<Result<std::string>> BatchJobStore::ReadRoute(std::string id) {
+  Result<KvItem> item = co_await m_kv.Get(OpenJobKey(id));
+  if (!item) {
+    co_return tl::unexpected<Error>(item.error());
+  }
+  co_return std::move(item->m_value);
+}
+
 Task<Result<JobPtr>> BatchJobStore::TakeOver(JobSnapshot stored) {
   BatchJobState next = stored.m_state.m_state;
   next.m_owner = m_self.m_id;
--- a/packages/jobs/job_store.h
+++ b/packages/jobs/job_store.h
@@ -77,6 +77,9 @@
   // Fail with kNotFound if there is no such job.
   Task<Result<StoredState>> ReadState(std::string id);
   Task<Result<JobSpec>> ReadSpec(std::string id);
+  // Returns the route of an open job, without the bodies of its items. A job of
+  // an earlier version of the program has none that exists.
+  Task<Result<std::string>> ReadRoute(std::string id);
   // Returns all listed results in their order.
   Task<Result<std::vector<JobResult>>> ReadResults(std::string id);
   // Marks a job that this VM does not own as cancelled. Returns the revision of
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -6,6 +6,7 @@
 #include "aio/wait.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "placement/home_regions.h"
 
 namespace bronzecross {
 namespace {
@@ -22,16 +23,75 @@
 // Key by which all VMs select the same VM for the scans of the fleet.
 constexpr std::string_view kScannerKey = "scan of open jobs";
 
+// A job that this VM may not hold isn't looked at again before this time. The
+// VMs that may hold it take it over within a check, and the configuration may
+// change.
+constexpr Millis kDeclinedPause{5'000};
+
 // Wait after the start before the list of live VMs counts as complete.
 constexpr Millis kMembershipSettleTime{700};
 
 }  // namespace
 
+bool JobTakeover::IsInScope(std::string_view zone) const {
+  const FleetConfigPtr config = m_dependencies.m_config();
+  if (config == nullptr || !config->m_has_homes) {
+    return true;
+  }
+  const PlacementSettings& placement = m_dependencies.m_placement;
+  return RegionOfZone(zone, placement) ==
+         OwnRegion(m_dependencies.m_cluster.Self().m_zone, placement);
+}
+
+std::string JobTakeover::FirstVmFor(std::string_view key, Millis now) const {
+  return m_dependencies.m_cluster.FirstResponsiveVmFor(
+      key, now, [this](std::string_view zone) { return IsInScope(zone); });
+}
+
+Task<bool> JobTakeover::MayHold(std::string id) {
+  const FleetConfigPtr config = m_dependencies.m_config();
+  if (config == nullptr || !config->m_has_homes) {
+    co_return true;
+  }
+  const Result<StoredState> stored = co_await m_store.ReadState(id);
+  if (!stored) {
+    // Without a state there is no job, and the takeover settles that.
+    co_return stored.error().m_code == ResultCode::kNotFound;
+  }
+  const Result<std::string> name = co_await m_store.ReadRoute(id);
+  const Millis now = MonotonicNow();
+  if (stored->m_state.m_phase != JobPhase::kOpen) {
+    m_table.m_claims.Record(id,
+                            ClaimOf(stored->m_state, stored->m_revision, now));
+  }
+  const Route* route = name ? FindRouteByName(*config, *name) : nullptr;
+  // Without a route, no item of the job can run.
+  const bool may_hold =
+      stored->m_state.m_phase == JobPhase::kOpen && route != nullptr &&
+      IsAllowedRegion(
+          OwnRegion(m_dependencies.m_cluster.Self().m_zone,
+                    m_dependencies.m_placement),
+          AllowedRegionsOf(*route, FindWorkspaceByName(
+                                       *config, stored->m_state.m_workspace)));
+  if (!may_hold) {
+    Log(Severity::kInfo, LogPart::kBatch,
+        "A job isn't taken over, as this VM may not hold it.",
+        {{"job", id}, {"owner", stored->m_state.m_owner}});
+  }
+  co_return may_hold;
+}
+
 Task<> JobTakeover::TakeOver(std::string id) {
   if (m_table.Has(id)) {
     m_table.m_unsettled.erase(id);
     co_return;
   }
+  const bool may_hold = co_await MayHold(id);
+  if (!may_hold) {
+    m_declined[id] = MonotonicNow() + kDeclinedPause;
+    Settle(id, MonotonicNow());
+    co_return;
+  }
   Result<JobSnapshot> stored = co_await m_store.ReadSnapshot(id);
   if (!stored) {
     if (stored.error().m_code == ResultCode::kNotFound) {
@@ -88,8 +148,7 @@
 }
 
 bool JobTakeover::IsScanner(Millis now) const {
-  return m_dependencies.m_cluster.FirstResponsiveVmFor(kScannerKey, now) ==
-         m_dependencies.m_cluster.Self().m_id;
+  return FirstVmFor(kScannerKey, now) == m_dependencies.m_cluster.Self().m_id;
 }
 
 Task<std::vector<std::string>> JobTakeover::Scan(Millis now) {
@@ -119,8 +178,7 @@
     // The scanner of the fleet takes over all of them, as no other VM scans.
     if (!is_announced && !m_table.Has(id) &&
         (!is_startup_scan ||
-         m_dependencies.m_cluster.FirstResponsiveVmFor(id, now) ==
-             m_dependencies.m_cluster.Self().m_id)) {
+         FirstVmFor(id, now) == m_dependencies.m_cluster.Self().m_id)) {
       orphans.push_back(id);
     }
   }
@@ -133,7 +191,8 @@
     const Millis now = MonotonicNow();
     std::vector<std::string> orphans = m_table.m_claims.FindOrphans(
         m_dependencies.m_cluster, now, [this, now] { return IsScanner(now); },
-        [this](std::string_view id) { return m_table.Has(id); });
+        [this](std::string_view id) { return m_table.Has(id); },
+        [this](std::string_view zone) { return IsInScope(zone); });
     for (auto entry = m_table.m_unsettled.begin();
          entry != m_table.m_unsettled.end(); ++entry) {
       orphans.push_back(entry->first);
@@ -142,8 +201,10 @@
     orphans.insert(orphans.end(), found.begin(), found.end());
     std::sort(orphans.begin(), orphans.end());
     orphans.erase(std::unique(orphans.begin(), orphans.end()), orphans.end());
+    absl::erase_if(m_declined,
+                   [now](const auto& entry) { return entry.second <= now; });
     for (const std::string& id : orphans) {
-      if (!m_draining) {
+      if (!m_draining && !m_declined.contains(id)) {
         co_await TakeOver(id);
       }
     }
--- a/packages/jobs/job_takeover.h
+++ b/packages/jobs/job_takeover.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include <absl/container/flat_hash_map.h>
+
 #include "jobs/job_dependencies.h"
 #include "jobs/job_store.h"
 #include "jobs/job_table.h"
@@ -37,6 +39,14 @@
   Task<> TakeOver(std::string id);
   // Ends the repeated reads of a job's owner if their time is over.
   void Settle(std::string_view id, Millis now);
+  // Returns whether this VM may hold the bodies of an open job that it hasn't
+  // read. The route and the workspace may limit them to regions.
+  Task<bool> MayHold(std::string id);
+  // Returns the VM that takes over the job `key`. If regions matter, each
+  // region has one, of which those that may not hold the job leave it.
+  std::string FirstVmFor(std::string_view key, Millis now) const;
+  // Returns whether VMs in `zone` compete with this one for jobs.
+  bool IsInScope(std::string_view zone) const;
   // Returns whether this VM scans the store for open jobs on behalf of the
   // fleet.
   bool IsScanner(Millis now) const;
@@ -51,6 +61,8 @@
   bool m_draining = false;
   int m_startup_scans = 0;
   Millis m_next_scan;
+  // Jobs that this VM may not hold, and until when they aren't looked at.
+  absl::flat_hash_map<std::string, Millis> m_declined;
 };
 
 }  // namespace bronzecross
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -450,6 +450,28 @@
   CHECK(next->m_progress[1].m_output.empty());
 }
 
+// Guards against jobs that nobody takes over, as the first VM of the fleet
+// isn't in a region where they may run.
+TEST_CASE("each region chooses a VM for a job if regions matter") {
+  VmRecord self;
+  self.m_id = "a";
+  self.m_incarnation = 1;
+  ClusterView a(self);
+  a.OnEvent(ListedVm("b"));
+  JobClaims claims;
+  for (int i = 0; i < 20; ++i) {
+    JobClaim claim = {"lost", 1, true, 0, Millis(1)};
+    claims.Record("job-" + std::to_string(i), claim);
+  }
+  const size_t of_fleet =
+      claims.FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere).size();
+  CHECK(of_fleet < 20);
+  CHECK(claims
+            .FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere,
+                         [](std::string_view) { return false; })
+            .size() == 20);
+}
+
 // Guards against items that take the few requests of a cold upstream while warm
 // ones have free slots.
 TEST_CASE("items start at warm upstreams first, and singly at cold ones") {
--- a/packages/placement/placement_settings.h
+++ b/packages/placement/placement_settings.h
@@ -3,9 +3,16 @@
 #ifndef BRONZECROSS_PLACEMENT_PLACEMENT_SETTINGS_H_
 #define BRONZECROSS_PLACEMENT_PLACEMENT_SETTINGS_H_
 
+#include <functional>
+#include <map>
+#include <string>
+
 namespace bronzecross {
 
 struct PlacementSettings {
+  std::string m_region;  // of this VM
+  // The region of each availability zone.
+  std::map<std::string, std::string, std::less<>> m_zone_regions;
   // All VMs together may send `m_cold_over` times the rate of the service plus
   // `m_cold_slack` requests within a second to one cold upstream.
   double m_cold_over = 1.5;
--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -97,6 +97,13 @@
   Publish(version);
 }
 
+void PlatformOperatorStandin::PublishRegions(
+    int version,
+    const std::vector<std::string>& regions) {
+  m_config["tenants"][0]["allowedRegions"] = regions;
+  Publish(version);
+}
+
 void PlatformOperatorStandin::Evacuate(const std::string& zone) {
   m_store.Put(Concat(kEvacuatePrefix, zone), "{}");
 }
--- a/standins/platform_operator_standin.h
+++ b/standins/platform_operator_standin.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -26,6 +27,8 @@
   void PublishWaitingCap(int version, int64_t tokens);
   // Sets the cold time and the cold rate of the engines.
   void PublishCold(int version, double cold_s, double cold_per_s);
+  // Limits the first workspace to `regions`.
+  void PublishRegions(int version, const std::vector<std::string>& regions);
   // Evacuates an availability zone, and withdraws that.
   void Evacuate(const std::string& zone);
   void WithdrawEvacuation(const std::string& zone);
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -108,7 +108,8 @@
                                ? vm.m_store_proxy->Address()
                                : m_store.Address();
   std::ofstream file(Concat(vm.m_folder, "/settings.toml"));
-  file << "[vm]\nid = \"vm-" << index << "\"\navailability_zone = \"zone-a\"\n"
+  file << "[vm]\nid = \"vm-" << index << "\"\navailability_zone = \""
+       << m_options.m_vm_zones[index % m_options.m_vm_zones.size()] << "\"\n"
        << "[listen]\ncallers = \"" << m_ip << ":" << vm.m_callers << "\"\n"
        << "readiness = \"" << m_ip << ":" << vm.m_readiness << "\"\n"
        << "peers = \"" << m_ip << ":" << vm.m_peers << "\"\n"
@@ -118,7 +119,8 @@
        << "\"\nhistory_ms = " << m_options.m_store_history.count() << "\n"
        << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
        << "\"]\n"
-       << "[limits]\ndrain_limit_ms = 8000\n";
+       << "[placement]\n"
+       << m_options.m_placement << "[limits]\ndrain_limit_ms = 8000\n";
 }
 
 void GatewayCluster::StartVm(size_t index) {
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -25,6 +25,10 @@
   PlatformReplicaOptions m_engine;
   // Zones of the engines, in turn; empty: that of m_engine.
   std::vector<std::string> m_engine_zones;
+  // Zones of the VMs, in turn.
+  std::vector<std::string> m_vm_zones = {"zone-a"};
+  // The lines of [placement] in the settings of the VMs.
+  std::string m_placement;
   double m_rate_per_s = 0;  // of the workspace; 0: no limit
   double m_burst = 0;
   // Stands a proxy between each VM and the store.
