Hold requests after a freeze until the operator's changes have been read

A VM that was frozen while a zone was evacuated sent requests there that had arrived meanwhile: 1 of 24 in 2 of 3 runs of the new case of gateway_evacuation_test. A request whose connection took that long counts as not run.

--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -96,13 +96,16 @@
 }
 
 UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request) {
+  const Millis now = MonotonicNow();
+  if (m_upstreams.IsHeldAt(now)) {
+    return nullptr;
+  }
   const std::vector<UpstreamPtr>& subset = m_upstreams.SubsetOf(m_service);
   bool has_untried = false;
   UpstreamPtr upstream = Pick(subset, request, has_untried);
   // The load that other VM groups put on the remaining upstreams is unknown,
   // but an estimate is better than waiting.
   std::vector<UpstreamPtr> others;
-  const Millis now = MonotonicNow();
   if (upstream == nullptr || upstream->IsColdAt(now)) {
     others = SampleOtherUpstreams(request.m_regions);
     const UpstreamPtr other = Pick(others, request, has_untried);
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -5,6 +5,7 @@
 #include "aio/wait.h"
 #include "base/log.h"
 #include "http1/write_message.h"
+#include "placement/freeze_guard.h"
 
 namespace bronzecross {
 namespace {
@@ -96,6 +97,7 @@
         {{"request", request.m_request_id}});
     co_return CallState::kUnsendable;
   }
+  const Millis started = MonotonicNow();
   const CallState connected = co_await Connect(request.m_deadline);
   if (connected != CallState::kResponded) {
     co_return connected;
@@ -104,8 +106,9 @@
     m_upstream->m_pool.Give(std::move(m_connection));
     co_return CallState::kCancelled;
   }
-  // The zone may have been evacuated while the connection was opened.
-  if (m_upstream->m_evacuated) {
+  // The zone may have been evacuated while the connection was opened, and this
+  // VM doesn't know that yet if it was frozen meanwhile.
+  if (m_upstream->m_evacuated || MonotonicNow() - started >= kFrozenAfter) {
     m_upstream->m_pool.Give(std::move(m_connection));
     co_return CallState::kNotRun;
   }
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -19,6 +19,7 @@
 #include "fleet/fleet_config.h"
 #include "kv/kv_session.h"
 #include "placement/evacuated_zones.h"
+#include "placement/freeze_guard.h"
 
 namespace bronzecross {
 
@@ -54,6 +55,13 @@
   // Must be called regularly.
   void UpdateCold(const ClusterView& cluster, bool may_send, Millis now);
 
+  // Holds requests back for a short time if the process was frozen since the
+  // last call, and returns whether it was. Must be called regularly.
+  bool HoldAfterFreeze(Millis now) { return DetectFreeze(m_freeze, now); }
+  void EndHold() { m_freeze.m_hold_until = Millis(); }
+  // Whether no request may be sent for now.
+  bool IsHeldAt(Millis now) const { return IsHeld(m_freeze, now); }
+
   bool IsLoaded() const { return m_loaded; }
   const std::vector<UpstreamPtr>& OfService(std::string_view service) const;
   // Returns the upstreams of a service that this VM prefers.
@@ -101,6 +109,7 @@
   VmGroup m_subset_group;
   std::string m_zone;
   bool m_subset_outdated = true;
+  FreezeGuard m_freeze;
   EvacuatedZones m_evacuated_zones;
   // When the last evacuation of each zone ended.
   std::map<std::string, Millis, std::less<>> m_zone_returns;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -283,6 +283,9 @@
   Millis counted_since;  // zero until the other VMs count this one
   for (;;) {
     const Millis now = MonotonicNow();
+    if (m_node.m_upstreams.HoldAfterFreeze(now)) {
+      Spawn(ReadAfterFreeze());
+    }
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
     m_node.m_poison_requests.Expire(now);
@@ -320,6 +323,14 @@
   }
 }
 
+Task<> Gateway::ReadAfterFreeze() {
+  const bool has_read = co_await m_operator_follower.ReadChanges();
+  if (has_read) {
+    m_node.m_upstreams.EndHold();
+    m_node.DispatchAll();
+  }
+}
+
 Task<> Gateway::QuerySeed(NetAddress seed) {
   WholeRequest request;
   request.m_head.m_method = "GET";
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -42,6 +42,8 @@
   // Periodically removes expired state and decides whether this VM's share of
   // the limits is active.
   Task<> RunMaintenance();
+  // Reads the operator's changes and then lets requests be sent again.
+  Task<> ReadAfterFreeze();
   // Queries the seeds for VMs until at least one VM is known.
   Task<> QuerySeeds();
   Task<> QuerySeed(NetAddress seed);
--- a/packages/jobs/item_starts.cc
+++ b/packages/jobs/item_starts.cc
@@ -227,10 +227,10 @@
     return;
   }
   const FleetConfigPtr config = m_dependencies.m_config();
-  if (config == nullptr) {
+  const Millis now = MonotonicNow();
+  if (config == nullptr || m_dependencies.m_upstreams.IsHeldAt(now)) {
     return;
   }
-  const Millis now = MonotonicNow();
   for (const Service& service : config->m_services) {
     bool urgent = false;
     const int own = CountWaitingItems(service.m_name, urgent);
--- a/packages/kv/prefix_follower.cc
+++ b/packages/kv/prefix_follower.cc
@@ -155,7 +155,12 @@
   m_missed_revision = 0;
 }
 
-Task<> PrefixFollower::Check() {
+Task<bool> PrefixFollower::ReadChanges() {
+  const bool has_read = m_is_loaded && co_await Check();
+  co_return has_read;
+}
+
+Task<bool> PrefixFollower::Check() {
   const int64_t before = m_log.KnownUpTo();
   const Result<KvEvents> events =
       co_await m_session.ReadEvents(m_prefix, before);
@@ -164,7 +169,7 @@
         m_log.KnownUpTo() == before) {
       co_await ReadAgain();
     }
-    co_return;
+    co_return false;
   }
   const int64_t known = m_log.KnownUpTo();
   OnEvents(events->m_events);
@@ -177,6 +182,7 @@
          {"known_up_to", known},
          {"change", m_log.KnownUpTo()}});
   }
+  co_return true;
 }
 
 Task<> PrefixFollower::RunChecks() {
--- a/packages/kv/prefix_follower.h
+++ b/packages/kv/prefix_follower.h
@@ -94,6 +94,9 @@
   Task<Result<KvChanges>> Share(int64_t after,
                                 Millis wait,
                                 bool only_if_watching);
+  // Reads the changes that the watch hasn't told of yet. Returns whether it
+  // could.
+  Task<bool> ReadChanges();
   // Rejects requests of other VMs from now on, because the process stops.
   void StopSharing();
 
@@ -107,7 +110,7 @@
   Task<> ReadAgain();
   void OnSnapshot(std::span<const KvItem> items, int64_t known_up_to);
   void OnEvents(std::span<const KvEvent> events);
-  Task<> Check();
+  Task<bool> Check();
   // Returns m_levels, or kFleetAndGroups while the service rejects this VM.
   WatchLevels Levels() const;
   bool CanShare(bool only_if_watching) const;
--- a/tests/integration/gateway_evacuation_test.cc
+++ b/tests/integration/gateway_evacuation_test.cc
@@ -3,6 +3,11 @@
 
 #include <doctest/doctest.h>
 
+#include <signal.h>
+
+#include <atomic>
+#include <thread>
+
 #include "base/text.h"
 #include "harness/cluster.h"
 #include "harness/gateway_cluster.h"
@@ -12,6 +17,8 @@
 namespace {
 
 constexpr Millis kJobTimeout{25'000};
+constexpr int kFrozenCalls = 24;
+constexpr Millis kFreeze{2'000};
 constexpr const char* kBegins = "The evacuation of a zone begins.";
 constexpr const char* kEnded = "The evacuation of a zone has ended.";
 
@@ -118,6 +125,33 @@
   CHECK(CountRequestsInZoneB(cluster, "after") > 0);
 }
 
+// Guards against requests that a VM has collected while it was frozen and that
+// it sends before it reads the evacuation.
+TEST_CASE("a VM that was frozen reads an evacuation before it sends") {
+  GatewayCluster cluster(TwoZones());
+  CHECK(CountRequestsInZoneB(cluster, "before") > 0);
+  cluster.Vm(1).Signal(SIGSTOP);
+  cluster.Operator().Evacuate("zone-b");
+  CHECK(WaitForLog(cluster, 0, kBegins));
+  const int64_t before = cluster.Engine(1).Requests();
+  std::vector<std::thread> callers;
+  std::atomic<int> served = 0;
+  for (int i = 0; i < kFrozenCalls; ++i) {
+    callers.emplace_back([&cluster, &served, i] {
+      const HttpAnswer answer =
+          cluster.Call(MakeRequest(1, "/once/x", Concat("frozen-", i)));
+      served += answer.m_status == 200 ? 1 : 0;
+    });
+  }
+  SleepFor(kFreeze);
+  cluster.Vm(1).Signal(SIGCONT);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(served == kFrozenCalls);
+  CHECK(cluster.Engine(1).Requests() == before);
+}
+
 // Guards against requests that wait for upstreams that they may not use.
 TEST_CASE("with all zones evacuated requests are refused, and served again") {
   GatewayCluster cluster(TwoZones());
