--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -69,6 +69,11 @@
   bool IsLoaded() const { return m_loaded; }
   // Whether the service lists this VM's current incarnation.
   bool IsSelfListed() const { return m_self_listed; }
+  // The VMs that the service lists, this one included if its current
+  // incarnation is listed. The views are valid until the next change.
+  std::vector<VmGroupMember> RegisteredVms() const;
+  // Changes whenever RegisteredVms() may have changed.
+  int64_t RegistrationVersion() const { return m_registration_version; }
   // Whether an earlier incarnation of this VM was still registered when this
   // one started, so that the other VMs have counted it without interruption.
   bool ReplacesEarlierIncarnation() const {
@@ -99,6 +104,11 @@
   // Same as FirstVmFor(), but without unresponsive VMs. VMs may return
   // different results for a while.
   std::string FirstResponsiveVmFor(std::string_view key, Millis now) const;
+  // Same among this VM and those in zones for which `is_in_scope` is true.
+  std::string FirstResponsiveVmFor(
+      std::string_view key,
+      Millis now,
+      absl::FunctionRef<bool(std::string_view)> is_in_scope) const;
 
  private:
   void Put(const VmRecord& record);
@@ -110,6 +120,7 @@
   VmRecord m_self;
   bool m_loaded = false;
   bool m_self_listed = false;
+  int64_t m_registration_version = 0;
   VmGroup m_group;
   bool m_replaces_earlier_incarnation = false;
   std::map<std::string, PeerVm, std::less<>> m_peers;
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "aio/wait.h"
+#include "base/metrics.h"
 #include "base/random.h"
 
 namespace bronzecross {
@@ -16,13 +17,27 @@
 constexpr size_t kMaxSample = 16;
 constexpr size_t kMaxExamined = 64;
 
-int CountSlots(std::span<const UpstreamPtr> upstreams, Millis now) {
+// Returns the slots of an upstream. A cold one counts with what this VM may
+// send there while a request holds a slot.
+int UsableSlots(const Upstream& upstream, double service_ms, Millis now) {
+  if (!upstream.IsColdAt(now)) {
+    return upstream.m_entry.m_slots;
+  }
+  const double per_s = upstream.m_cold_pacer.m_per_s;
+  return per_s <= 0 ? 0
+                    : std::clamp(static_cast<int>(per_s * service_ms / 1'000),
+                                 1, upstream.m_entry.m_slots);
+}
+
+int CountSlots(std::span<const UpstreamPtr> upstreams,
+               double service_ms,
+               Millis now) {
   int slots = 0;
   for (const UpstreamPtr& upstream : upstreams) {
     const bool is_usable =
         upstream->TakesRequests() &&
         IsHealthy(upstream->m_health, kFirstByteTimeout, now);
-    slots += is_usable ? upstream->m_entry.m_slots : 0;
+    slots += is_usable ? UsableSlots(*upstream, service_ms, now) : 0;
   }
   return slots;
 }
@@ -44,28 +59,36 @@
                             const SlotRequest& request,
                             bool& has_untried) const {
   std::vector<CandidateLoad> loads =
-      GetLoads(candidates, m_zone, MonotonicNow());
+      GetLoads(candidates, m_zone, MonotonicNow(), request.m_regions);
+  bool is_held = false;
   for (size_t i = 0; i < loads.size(); ++i) {
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
                                                  candidates[i]->m_entry.m_id);
     has_untried = has_untried || loads[i].m_usable;
+    is_held = is_held || loads[i].m_cold_held;
   }
   const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
+  if (!choice && is_held) {
+    CountMetric("bronzecross_cold_holds_total");
+  }
   return choice ? candidates[*choice] : nullptr;
 }
 
-std::vector<UpstreamPtr> SlotQueue::SampleOtherUpstreams() const {
+std::vector<UpstreamPtr> SlotQueue::SampleOtherUpstreams(
+    const AllowedRegions& regions) const {
   const std::vector<UpstreamPtr>& all = m_upstreams.OfService(m_service);
   std::vector<UpstreamPtr> sample;
   if (all.size() == m_upstreams.SubsetOf(m_service).size()) {
     return sample;
   }
   const size_t start = RandomBelow(ThreadRandom(), all.size());
-  for (size_t i = 0;
-       i < std::min(all.size(), kMaxExamined) && sample.size() < kMaxSample;
-       ++i) {
+  // Few of the upstreams may be in a region of the request.
+  const size_t examined =
+      regions.IsLimited() ? all.size() : std::min(all.size(), kMaxExamined);
+  for (size_t i = 0; i < examined && sample.size() < kMaxSample; ++i) {
     const UpstreamPtr& upstream = all[(start + i) % all.size()];
-    if (!upstream->m_in_subset) {
+    if (!upstream->m_in_subset &&
+        IsAllowedRegion(upstream->m_region, regions)) {
       sample.push_back(upstream);
     }
   }
@@ -73,15 +96,22 @@
 }
 
 UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request) {
+  const Millis now = MonotonicNow();
+  if (m_upstreams.IsHeldAt(now)) {
+    return nullptr;
+  }
   const std::vector<UpstreamPtr>& subset = m_upstreams.SubsetOf(m_service);
   bool has_untried = false;
   UpstreamPtr upstream = Pick(subset, request, has_untried);
   // The load that other VM groups put on the remaining upstreams is unknown,
   // but an estimate is better than waiting.
   std::vector<UpstreamPtr> others;
-  if (upstream == nullptr) {
-    others = SampleOtherUpstreams();
-    upstream = Pick(others, request, has_untried);
+  if (upstream == nullptr || upstream->IsColdAt(now)) {
+    others = SampleOtherUpstreams(request.m_regions);
+    const UpstreamPtr other = Pick(others, request, has_untried);
+    if (other != nullptr && (upstream == nullptr || !other->IsColdAt(now))) {
+      upstream = other;
+    }
   }
   // Upstreams that were already tried are used again only if there is no other.
   if (upstream == nullptr && !has_untried && !request.m_excluded.empty()) {
@@ -95,12 +125,30 @@
   if (upstream == nullptr) {
     return nullptr;
   }
+  RecordColdSend(*upstream, now);
   ++upstream->m_online;
   m_upstreams.MarkInUse(upstream);
   m_on_placed(*upstream);
   return upstream;
 }
 
+bool SlotQueue::IsBarred(const SlotRequest& request) const {
+  const bool is_limited = request.m_regions.IsLimited();
+  if (m_upstreams.Evacuations().Count() == 0 && !is_limited) {
+    return false;
+  }
+  bool is_barred = is_limited;
+  for (const UpstreamPtr& upstream : m_upstreams.OfService(m_service)) {
+    const bool is_allowed =
+        IsAllowedRegion(upstream->m_region, request.m_regions);
+    if (is_allowed && upstream->TakesRequests()) {
+      return false;
+    }
+    is_barred = is_barred || upstream->m_evacuated;
+  }
+  return is_barred;
+}
+
 Task<UpstreamPtr> SlotQueue::Acquire(SlotRequest request,
                                      Cancellation& cancellation) {
   if (m_waiting.empty()) {
@@ -109,13 +157,16 @@
       co_return upstream;
     }
   }
+  if (IsBarred(request)) {
+    co_return nullptr;
+  }
   Waiting waiting;
   waiting.m_request = std::move(request);
   const Millis wait_deadline = waiting.m_request.m_wait_deadline;
   m_waiting.push_back(&waiting);
   Dispatch();
-  while (waiting.m_assigned == nullptr && !cancellation.IsCancelled() &&
-         MonotonicNow() < wait_deadline) {
+  while (waiting.m_assigned == nullptr && !waiting.m_refused &&
+         !cancellation.IsCancelled() && MonotonicNow() < wait_deadline) {
     WaitAny wait(wait_deadline);
     wait.Add(waiting.m_done);
     wait.Add(cancellation.Changed());
@@ -145,7 +196,11 @@
     waiting->m_assigned = TryPlace(waiting->m_request);
     if (waiting->m_assigned != nullptr) {
       waiting->m_done.NotifyAll();
-    } else if (waiting->m_request.m_excluded.empty()) {
+    } else if (IsBarred(waiting->m_request)) {
+      waiting->m_refused = true;
+      waiting->m_done.NotifyAll();
+    } else if (waiting->m_request.m_excluded.empty() &&
+               !waiting->m_request.m_regions.IsLimited()) {
       return;
     }
   }
@@ -166,9 +221,11 @@
   });
   // The requests counted above are those of this VM's group, so they are
   // compared with the slots of its subset.
-  state.m_slots = CountSlots(m_upstreams.SubsetOf(m_service), now);
+  state.m_slots =
+      CountSlots(m_upstreams.SubsetOf(m_service), m_service_ms, now);
   if (state.m_slots == 0) {
-    state.m_slots = CountSlots(m_upstreams.OfService(m_service), now);
+    state.m_slots =
+        CountSlots(m_upstreams.OfService(m_service), m_service_ms, now);
   }
   state.m_service_ms = m_service_ms;
   return state;
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -23,6 +23,8 @@
   QueuedRequest m_order;
   // Ids of the upstreams where earlier attempts failed.
   std::set<std::string, std::less<>> m_excluded;
+  // Where it may run. The caller keeps the configuration that owns the lists.
+  AllowedRegions m_regions;
   // The request is no longer queued after this instant.
   Millis m_wait_deadline;
 };
@@ -37,7 +39,8 @@
             std::function<void(Upstream&)> on_placed);
 
   // Waits for a slot. Returns null if the wait deadline passes or the request
-  // is cancelled first. The slot stays in use until Release().
+  // is cancelled first, and at once if no upstream is left where the request
+  // may run. The slot stays in use until Release().
   Task<UpstreamPtr> Acquire(SlotRequest request, Cancellation& cancellation);
   void Release(Upstream& upstream);
 
@@ -58,6 +61,8 @@
   struct Waiting {
     SlotRequest m_request;
     UpstreamPtr m_assigned;
+    // No upstream is left where the request may run.
+    bool m_refused = false;
     Condition m_done;
   };
 
@@ -66,8 +71,13 @@
   UpstreamPtr Pick(std::span<const UpstreamPtr> candidates,
                    const SlotRequest& request,
                    bool& has_untried) const;
-  // Returns some of the upstreams that this VM doesn't prefer.
-  std::vector<UpstreamPtr> SampleOtherUpstreams() const;
+  // Returns some of the upstreams that this VM doesn't prefer and where a
+  // request with these limits may run.
+  std::vector<UpstreamPtr> SampleOtherUpstreams(
+      const AllowedRegions& regions) const;
+  // Whether evacuations or its regions leave no upstream for the request. It
+  // would wait in vain.
+  bool IsBarred(const SlotRequest& request) const;
   UpstreamPtr TryPlace(const SlotRequest& request);
 
   std::string m_service;
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -14,6 +14,9 @@
 #include "dispatch/upstream_pace.h"
 #include "fleet/upstream_entry.h"
 #include "http1/connection_pool.h"
+#include "placement/cold_senders.h"
+#include "placement/cold_state.h"
+#include "placement/home_regions.h"
 
 namespace bronzecross {
 
@@ -29,9 +32,16 @@
   // A response said that it is about to stop. This holds for the rest of the
   // incarnation, whatever its registration says.
   bool m_leaving = false;
+  // Its zone is evacuated, so it receives no new requests.
+  bool m_evacuated = false;
   // Whether this VM's group prefers it (upstream_subset.h).
   bool m_in_subset = true;
 
+  std::string m_region;      // of its zone; empty: none
+  ColdLimits m_cold_limits;  // of its service
+  ColdState m_cold;
+  ColdPacer m_cold_pacer;
+
   ConnectionPool m_pool;
   UpstreamHealth m_health;
 
@@ -47,11 +57,12 @@
   // Whether m_pace holds the times of events rather than of requests.
   bool m_streams = false;
 
+  bool IsColdAt(Millis now) const { return IsCold(m_cold, m_cold_limits, now); }
   int Online() const { return m_online + m_peer_online; }
   int Batch() const { return m_batch + m_peer_batch; }
   int Urgent() const { return m_urgent + m_peer_urgent; }
   bool TakesRequests() const {
-    return !m_deregistered && !m_leaving && !m_entry.m_draining;
+    return !m_deregistered && !m_leaving && !m_entry.m_draining && !m_evacuated;
   }
 };
 
@@ -60,6 +71,10 @@
 // Stops new requests to an upstream whose response says that it is leaving.
 void MarkLeaving(Upstream& upstream);
 
+// Counts a request that is placed at `upstream` against the rate of cold
+// upstreams, if it is cold.
+void RecordColdSend(Upstream& upstream, Millis now);
+
 // Adds the arrival of `events` events of one stream to the pace of `upstream`.
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events);
 // Adds the time of one request that isn't streamed. Ignored if the upstream
@@ -67,10 +82,12 @@
 void RecordRequestTime(Upstream& upstream, Millis time);
 
 // Returns the load of each upstream, and which of them are slow compared with
-// the others. `zone` is the availability zone of this VM.
+// the others. `zone` is the availability zone of this VM. Upstreams outside
+// `regions` are not usable.
 std::vector<CandidateLoad> GetLoads(std::span<const UpstreamPtr> upstreams,
                                     std::string_view zone,
-                                    Millis now);
+                                    Millis now,
+                                    const AllowedRegions& regions = {});
 
 }  // namespace bronzecross
 
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -5,6 +5,7 @@
 #include "aio/wait.h"
 #include "base/log.h"
 #include "http1/write_message.h"
+#include "placement/freeze_guard.h"
 
 namespace bronzecross {
 namespace {
@@ -37,6 +38,26 @@
 
 }  // namespace
 
+std::string_view CallStateName(CallState state) {
+  switch (state) {
+    case CallState::kResponded:
+      return "answered";
+    case CallState::kNotRun:
+      return "not_run";
+    case CallState::kUnsendable:
+      return "unsendable";
+    case CallState::kBroken:
+      return "broken";
+    case CallState::kUnresponsive:
+      return "silent";
+    case CallState::kCancelled:
+      return "cancelled";
+    case CallState::kTimedOut:
+      return "timed_out";
+  }
+  return "";
+}
+
 UpstreamCall::UpstreamCall(UpstreamPtr upstream, Cancellation& cancellation)
     : m_upstream(std::move(upstream)), m_cancellation(cancellation) {}
 
@@ -76,6 +97,7 @@
         {{"request", request.m_request_id}});
     co_return CallState::kUnsendable;
   }
+  const Millis started = MonotonicNow();
   const CallState connected = co_await Connect(request.m_deadline);
   if (connected != CallState::kResponded) {
     co_return connected;
@@ -84,6 +106,12 @@
     m_upstream->m_pool.Give(std::move(m_connection));
     co_return CallState::kCancelled;
   }
+  // The zone may have been evacuated while the connection was opened, and this
+  // VM doesn't know that yet if it was frozen meanwhile.
+  if (m_upstream->m_evacuated || MonotonicNow() - started >= kFrozenAfter) {
+    m_upstream->m_pool.Give(std::move(m_connection));
+    co_return CallState::kNotRun;
+  }
   ExpectResponseTo(request.m_head->m_method);
   m_connection->Queue(*head);
   m_connection->Queue(request.m_body);
@@ -163,6 +191,10 @@
       if (m_fields.m_leaving) {
         MarkLeaving(*m_upstream);
       }
+      if (m_fields.m_cold_left && !IsStrayResponse(request.m_request_id)) {
+        RecordColdResponse(m_upstream->m_cold, *m_fields.m_cold_left,
+                           MonotonicNow());
+      }
       const bool is_interim = Head().m_status < kFirstSuccess;
       if (!is_interim && !IsStrayResponse(request.m_request_id)) {
         co_return CheckHead(request.m_request_id,
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "dispatch/upstream_subset.h"
 #include "platform/upstream_entry.h"
 
@@ -13,6 +14,11 @@
 // has ended. It stops within seconds, or at times within a minute.
 constexpr Millis kLeftRetention{600'000};
 
+// Returns whether this VM has requests in flight at `upstream`.
+bool IsInUse(const Upstream& upstream) {
+  return upstream.m_online > 0 || upstream.m_batch > 0;
+}
+
 }  // namespace
 
 const std::vector<UpstreamPtr>& UpstreamTable::OfService(
@@ -30,7 +36,7 @@
 
 const absl::flat_hash_set<UpstreamPtr>& UpstreamTable::InUse() {
   absl::erase_if(m_in_use, [](const UpstreamPtr& upstream) {
-    return upstream->m_online <= 0 && upstream->m_batch <= 0;
+    return !IsInUse(*upstream);
   });
   return m_in_use;
 }
@@ -64,7 +70,10 @@
                        upstream->m_entry.m_address == entry->m_address &&
                        upstream->m_entry.m_service == entry->m_service;
   if (is_same && upstream->m_entry.m_draining == entry->m_draining &&
-      upstream->m_entry.m_slots == entry->m_slots) {
+      upstream->m_entry.m_slots == entry->m_slots &&
+      upstream->m_entry.m_zone == entry->m_zone) {
+    upstream->m_entry.m_cold_left = entry->m_cold_left;
+    Apply(upstream);
     return;
   }
   Log(Severity::kInfo, LogPart::kUpstreams, "An upstream changed.",
@@ -75,28 +84,146 @@
        {"revision", item.m_revision}});
   if (is_same) {
     upstream->m_entry = *std::move(entry);
+    Apply(upstream);
     return;
   }
   if (upstream != nullptr) {
-    Deregister(*upstream);
+    Deregister(upstream);
+  }
+  upstream = MakeUpstream(*std::move(entry));
+  ApplyLimits(*upstream);
+  ApplyZoneReturn(*upstream);
+  Apply(upstream);
+}
+
+void UpstreamTable::Apply(const UpstreamPtr& upstream) {
+  ApplyZone(*upstream);
+  RecordColdEntry(upstream->m_cold, upstream->m_entry.m_cold_left,
+                  MonotonicNow());
+  m_cold_upstreams.Watch(upstream);
+}
+
+void UpstreamTable::ApplyLimits(Upstream& upstream) const {
+  const auto limits = m_cold_limits.find(upstream.m_entry.m_service);
+  upstream.m_cold_limits =
+      limits == m_cold_limits.end() ? ColdLimits() : limits->second;
+}
+
+void UpstreamTable::OnConfig(const FleetConfig& config) {
+  std::map<std::string, ColdLimits, std::less<>> limits;
+  for (const Service& service : config.m_services) {
+    if (service.m_cold_per_s > 0 && service.m_cold_time > Millis()) {
+      limits[service.m_name] = {service.m_cold_time, service.m_cold_per_s};
+    }
+  }
+  if (limits == m_cold_limits) {
+    return;
+  }
+  m_cold_limits = std::move(limits);
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    ApplyLimits(*entry->second);
+    m_cold_upstreams.Watch(entry->second);
+  }
+}
+
+void UpstreamTable::UpdateCold(const ClusterView& cluster,
+                               bool may_send,
+                               Millis now) {
+  if (m_cold_limits.empty()) {
+    return;
+  }
+  // A response may have said that its upstream is cold.
+  for (const UpstreamPtr& upstream : InUse()) {
+    m_cold_upstreams.Watch(upstream);
+  }
+  m_cold_upstreams.Update(cluster, may_send, now);
+}
+
+void UpstreamTable::ApplyZone(Upstream& upstream) const {
+  upstream.m_evacuated = m_evacuated_zones.Contains(upstream.m_entry.m_zone);
+  upstream.m_region = RegionOfZone(upstream.m_entry.m_zone, m_placement);
+}
+
+void UpstreamTable::ApplyZones() {
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    ApplyZone(*entry->second);
+  }
+  SetGauge("bronzecross_zones_evacuated", {},
+           static_cast<double>(m_evacuated_zones.Count()));
+  m_changed.NotifyAll();
+}
+
+void UpstreamTable::BeginEvacuation(std::string_view zone) {
+  if (m_evacuated_zones.Begin(zone, MonotonicNow())) {
+    Log(Severity::kWarning, LogPart::kUpstreams,
+        "The evacuation of a zone begins.", {{"zone", zone}});
+    ApplyZones();
+  }
+}
+
+void UpstreamTable::EndEvacuation(std::string_view zone) {
+  const Millis since = m_evacuated_zones.Since(zone);
+  if (m_evacuated_zones.End(zone)) {
+    Log(Severity::kWarning, LogPart::kUpstreams,
+        "The evacuation of a zone has ended.",
+        {{"zone", zone}, {"ms", MonotonicNow() - since}});
+    ApplyZones();
+  }
+  // Also if this VM missed the beginning: the zone has been without requests.
+  m_zone_returns[std::string(zone)] = MonotonicNow();
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    if (entry->second->m_entry.m_zone == zone) {
+      ApplyZoneReturn(*entry->second);
+      m_cold_upstreams.Watch(entry->second);
+    }
+  }
+}
+
+void UpstreamTable::ApplyZoneReturn(Upstream& upstream) const {
+  const auto returned = m_zone_returns.find(upstream.m_entry.m_zone);
+  if (returned != m_zone_returns.end()) {
+    RecordZoneReturn(upstream.m_cold, upstream.m_cold_limits, returned->second);
+  }
+}
+
+void UpstreamTable::EndUnlistedEvacuations(
+    std::span<const std::string_view> listed) {
+  for (const std::string& zone : m_evacuated_zones.FindUnlisted(listed)) {
+    EndEvacuation(zone);
+  }
+}
+
+UpstreamPtr UpstreamTable::MakeUpstream(UpstreamEntry entry) {
+  const auto left = m_left.find(entry.m_id);
+  const UpstreamPtr earlier =
+      left == m_left.end() ? nullptr : left->second.m_upstream;
+  if (earlier == nullptr || earlier->m_entry.m_started != entry.m_started) {
+    return std::make_shared<Upstream>(std::move(entry));
+  }
+  if (IsInUse(*earlier) && earlier->m_entry.m_address == entry.m_address &&
+      earlier->m_entry.m_service == entry.m_service) {
+    m_left.erase(left);
+    earlier->m_entry = std::move(entry);
+    earlier->m_deregistered = false;
+    return earlier;
   }
-  upstream = std::make_shared<Upstream>(*std::move(entry));
-  const auto left = m_left.find(id);
-  upstream->m_leaving = left != m_left.end() &&
-                        left->second.m_started == upstream->m_entry.m_started;
+  UpstreamPtr upstream = std::make_shared<Upstream>(std::move(entry));
+  upstream->m_leaving = earlier->m_leaving;
+  return upstream;
 }
 
-void UpstreamTable::Deregister(Upstream& upstream) {
-  upstream.m_deregistered = true;
-  if (!upstream.m_leaving) {
+void UpstreamTable::Deregister(const UpstreamPtr& upstream) {
+  upstream->m_deregistered = true;
+  if (!upstream->m_leaving && !IsInUse(*upstream)) {
     return;
   }
   const Millis now = MonotonicNow();
   absl::erase_if(m_left, [now](const auto& entry) {
-    return entry.second.m_forget_at < now;
+    const LeftUpstream& left = entry.second;
+    return left.m_forget_at < now ||
+           (!left.m_upstream->m_leaving && !IsInUse(*left.m_upstream));
   });
-  m_left[upstream.m_entry.m_id] = {upstream.m_entry.m_started,
-                                   now + kLeftRetention};
+  m_left[upstream->m_entry.m_id] = {upstream, now + kLeftRetention};
 }
 
 void UpstreamTable::Drop(const std::string& id) {
@@ -104,7 +231,7 @@
   if (found == m_by_id.end()) {
     return;
   }
-  Deregister(*found->second);
+  Deregister(found->second);
   found->second->m_pool.Clear();
   m_by_id.erase(found);
   Log(Severity::kInfo, LogPart::kUpstreams, "An upstream is gone.",
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -14,14 +14,19 @@
 
 #include "aio/waiter.h"
 #include "cluster/cluster_view.h"
+#include "dispatch/cold_upstreams.h"
 #include "dispatch/upstream.h"
+#include "fleet/fleet_config.h"
 #include "kv/kv_session.h"
+#include "placement/evacuated_zones.h"
+#include "placement/freeze_guard.h"
 
 namespace bronzecross {
 
 class UpstreamTable {
  public:
-  explicit UpstreamTable(const KvSession& kv) : m_kv(kv) {}
+  UpstreamTable(const KvSession& kv, PlacementSettings placement)
+      : m_kv(kv), m_placement(placement), m_cold_upstreams(placement) {}
 
   void OnSnapshot(std::span<const KvItem> items);
   void OnEvent(const KvEvent& event);
@@ -36,6 +41,27 @@
   // Stores the work times that another VM reported.
   void UpdatePeerPace(const GossipMessage& gossip, Millis now);
 
+  // Stop and resume the use of all upstreams of an availability zone, also of
+  // those that register later.
+  void BeginEvacuation(std::string_view zone);
+  void EndEvacuation(std::string_view zone);
+  // Ends the evacuations of all zones that aren't among `listed`.
+  void EndUnlistedEvacuations(std::span<const std::string_view> listed);
+  const EvacuatedZones& Evacuations() const { return m_evacuated_zones; }
+
+  // Takes over which services have cold upstreams.
+  void OnConfig(const FleetConfig& config);
+  // Updates to which cold upstreams this VM sends requests; see ColdUpstreams.
+  // Must be called regularly.
+  void UpdateCold(const ClusterView& cluster, bool may_send, Millis now);
+
+  // Holds requests back for a short time if the process was frozen since the
+  // last call, and returns whether it was. Must be called regularly.
+  bool HoldAfterFreeze(Millis now) { return DetectFreeze(m_freeze, now); }
+  void EndHold() { m_freeze.m_hold_until = Millis(); }
+  // Whether no request may be sent for now.
+  bool IsHeldAt(Millis now) const { return IsHeld(m_freeze, now); }
+
   bool IsLoaded() const { return m_loaded; }
   const std::vector<UpstreamPtr>& OfService(std::string_view service) const;
   // Returns the upstreams of a service that this VM prefers.
@@ -50,14 +76,26 @@
 
  private:
   void Put(const KvItem& item);
-  // Marks an upstream as no longer registered. If its incarnation registers
-  // again, it is still leaving if it was before.
-  void Deregister(Upstream& upstream);
+  // Marks an upstream as no longer registered and keeps its object for as long
+  // as its incarnation may register again.
+  void Deregister(const UpstreamPtr& upstream);
+  // Returns the object for an entry that has been registered. It is the earlier
+  // object of the same incarnation if that still has requests in flight, since
+  // their responses may yet say that the upstream is leaving.
+  UpstreamPtr MakeUpstream(UpstreamEntry entry);
+  // Applies what an entry of the upstream that has just arrived implies.
+  void Apply(const UpstreamPtr& upstream);
+  // Applies what the evacuations, their ends and the configuration imply.
+  void ApplyZone(Upstream& upstream) const;
+  void ApplyZones();
+  void ApplyZoneReturn(Upstream& upstream) const;
+  void ApplyLimits(Upstream& upstream) const;
   void Remove(std::string_view id, bool may_reregister);
   void Drop(const std::string& id);
   void Index();
 
   const KvSession& m_kv;
+  const PlacementSettings m_placement;
   bool m_loaded = false;
   std::map<std::string, UpstreamPtr, std::less<>> m_by_id;
   std::map<std::string, std::vector<UpstreamPtr>, std::less<>> m_by_service;
@@ -71,13 +109,20 @@
   VmGroup m_subset_group;
   std::string m_zone;
   bool m_subset_outdated = true;
+  FreezeGuard m_freeze;
+  EvacuatedZones m_evacuated_zones;
+  // When the last evacuation of each zone ended.
+  std::map<std::string, Millis, std::less<>> m_zone_returns;
+  // The services with cold upstreams.
+  std::map<std::string, ColdLimits, std::less<>> m_cold_limits;
+  ColdUpstreams m_cold_upstreams;
   // Entries that expired around an outage of the store, and when they are
   // removed.
   std::map<std::string, Millis, std::less<>> m_postponed;
-  // Incarnations that were leaving when their registration ended, by the id of
-  // the upstream.
+  // Incarnations that were leaving or had requests of this VM in flight when
+  // their registration ended, by the id of the upstream.
   struct LeftUpstream {
-    Millis m_started;    // of the incarnation; Unix time
+    UpstreamPtr m_upstream;
     Millis m_forget_at;  // monotonic time
   };
   absl::flat_hash_map<std::string, LeftUpstream> m_left;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -13,7 +13,7 @@
 #include "base/metrics.h"
 #include "gateway/caller_connection.h"
 #include "gateway/peer_server.h"
-#include "platform/config_document.h"
+#include "placement/home_regions.h"
 #include "platform/keys.h"
 #include "quota/token_sharing.h"
 
@@ -34,8 +34,7 @@
 // of the limits, so that the others have reduced theirs.
 constexpr Millis kShareActivationDelay{800};
 
-// Interval between queries to the seeds while no other VM is known, and between
-// attempts to report an emptied disk.
+// Interval between queries to the seeds while no other VM is known.
 constexpr Millis kSeedInterval{1'000};
 
 // During a drain, the listener stays open for this long. The load balancer
@@ -131,26 +130,27 @@
 Gateway::Gateway(GatewaySettings settings,
                  std::function<Result<GatewaySettings>()> reload)
     : m_node(std::move(settings)),
+      m_operator_keys(m_node),
       m_operator_follower(m_node.m_kv,
                           std::string(platform::kOperatorPrefix),
-                          OperatorHandlers()),
+                          m_operator_keys.Handlers()),
       m_upstream_follower(m_node.m_kv,
                           std::string(platform::kUpstreamPrefix),
                           UpstreamHandlers()),
       m_vm_follower(m_node.m_kv, std::string(kVmPrefix), VmHandlers()),
       m_peer_calls(m_node.m_cluster),
       m_gossip(m_node),
-      m_jobs(JobDependencies{m_node.m_kv, m_node.m_cluster, m_node.m_upstreams,
-                             [this] { return m_node.m_config; },
-                             [this](std::string_view service) {
-                               const auto found = m_node.m_queues.find(service);
-                               return found == m_node.m_queues.end()
-                                          ? 0
-                                          : found->second.GetState().m_waiting;
-                             },
-                             [this] { return m_hears_fleet; },
-                             [this] { m_gossip.SendSoon(); },
-                             m_node.m_settings.m_result_retention}),
+      m_jobs(JobDependencies{
+          m_node.m_kv, m_node.m_cluster, m_node.m_upstreams,
+          [this] { return m_node.m_config; },
+          [this](std::string_view service) {
+            const auto found = m_node.m_queues.find(service);
+            return found == m_node.m_queues.end()
+                       ? 0
+                       : found->second.GetState().m_waiting;
+          },
+          [this] { return m_hears_fleet; }, [this] { m_gossip.SendSoon(); },
+          m_node.m_settings.m_placement, m_node.m_settings.m_result_retention}),
       m_reload(std::move(reload)) {
   m_node.m_gossip = &m_gossip;
   m_node.m_jobs = &m_jobs;
@@ -164,6 +164,13 @@
   m_upstream_follower.SetSource(&m_peer_calls, WatchLevels::kFleetAndGroups);
   m_vm_follower.SetSource(&m_peer_calls, WatchLevels::kFleetAndGroups);
   m_node.m_kv.SetRelay(&m_peer_calls);
+  // A region that isn't a home must not get the body of a batch job.
+  m_peer_calls.SetRelayScope([this](std::string_view zone) {
+    const PlacementSettings& placement = m_node.m_settings.m_placement;
+    return m_node.m_config == nullptr || !m_node.m_config->m_has_homes ||
+           RegionOfZone(zone, placement) ==
+               OwnRegion(m_node.m_settings.m_zone, placement);
+  });
 }
 
 Gateway::~Gateway() = default;
@@ -229,43 +236,6 @@
   return {};
 }
 
-void Gateway::OnOperatorItem(const KvItem& item) {
-  const std::string_view vm = platform::VmToRetire(item.m_key);
-  if (!vm.empty() && m_disks_to_empty.insert(std::string(vm)).second) {
-    Spawn(ReportDiskEmptied(std::string(vm)));
-    return;
-  }
-  if (item.m_key != platform::kConfigKey) {
-    return;
-  }
-  Result<FleetConfigPtr> config = platform::DecodeConfig(item.m_value);
-  if (!config) {
-    LogError(Severity::kError, LogPart::kConfig,
-             "The configuration can't be read; the current one stays in use.",
-             config.error());
-    return;
-  }
-  m_node.InstallConfig(*std::move(config), item.m_revision);
-}
-
-PrefixHandlers Gateway::OperatorHandlers() {
-  PrefixHandlers handlers;
-  handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
-    for (const KvItem& item : items) {
-      OnOperatorItem(item);
-    }
-  };
-  handlers.m_on_event = [this](const KvEvent& event) {
-    if (event.m_removed) {
-      m_disks_to_empty.erase(
-          std::string(platform::VmToRetire(event.m_item.m_key)));
-    } else {
-      OnOperatorItem(event.m_item);
-    }
-  };
-  return handlers;
-}
-
 PrefixHandlers Gateway::UpstreamHandlers() {
   PrefixHandlers handlers;
   handlers.m_on_snapshot = [this](std::span<const KvItem> items) {
@@ -292,29 +262,6 @@
   return handlers;
 }
 
-Task<> Gateway::ReportDiskEmptied(std::string vm) {
-  // The system stores no data on disk, so every disk is already empty.
-  const std::string key = platform::RetirementStatusKey(vm);
-  while (m_disks_to_empty.contains(vm)) {
-    if (m_node.m_cluster.FirstVmFor(key, MonotonicNow()) ==
-        m_node.m_cluster.Self().m_id) {
-      KvTransaction transaction;
-      transaction.m_puts.push_back(
-          {key, platform::RetirementCompletedValue(), 0});
-      const Result<KvOutcome> outcome =
-          co_await m_node.m_kv.Transact(std::move(transaction));
-      if (outcome) {
-        Log(Severity::kInfo, LogPart::kMain, "Reported a disk as emptied.",
-            {{"vm", vm}});
-        co_return;
-      }
-    }
-    // The VM that is responsible for the report may fail, so every other VM
-    // keeps checking whether it has become responsible.
-    co_await Sleep(kSeedInterval);
-  }
-}
-
 namespace {
 
 // Returns how long changes of the lists of upstreams and VMs are collected
@@ -339,6 +286,9 @@
   Millis counted_since;  // zero until the other VMs count this one
   for (;;) {
     const Millis now = MonotonicNow();
+    if (m_node.m_upstreams.HoldAfterFreeze(now)) {
+      Spawn(ReadAfterFreeze());
+    }
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
     m_node.m_poison_requests.Expire(now);
@@ -370,11 +320,20 @@
     m_node.m_quotas.SetShareActive(
         has_settled && IsShareActive(is_lease_held, recently_seen, members),
         now);
+    m_node.m_upstreams.UpdateCold(m_node.m_cluster, is_lease_held, now);
     m_node.DispatchAll();
     co_await Sleep(kMaintenanceInterval);
   }
 }
 
+Task<> Gateway::ReadAfterFreeze() {
+  const bool has_read = co_await m_operator_follower.ReadChanges();
+  if (has_read) {
+    m_node.m_upstreams.EndHold();
+    m_node.DispatchAll();
+  }
+}
+
 Task<> Gateway::QuerySeed(NetAddress seed) {
   WholeRequest request;
   request.m_head.m_method = "GET";
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/net_address.h"
+#include "placement/placement_settings.h"
 
 namespace bronzecross {
 
@@ -28,6 +29,7 @@
   Millis m_result_retention{120'000};  // of finished jobs, since submission
   // Whether jobs go to VM groups with a lower batch load.
   bool m_forward_jobs = false;
+  PlacementSettings m_placement;
   Severity m_log_level = Severity::kInfo;
   LogFormat m_log_format = LogFormat::kText;
 };
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -450,5 +450,41 @@
   CHECK(next->m_progress[1].m_output.empty());
 }
 
+// Guards against jobs that nobody takes over, as the first VM of the fleet
+// isn't in a region where they may run.
+TEST_CASE("each region chooses a VM for a job if regions matter") {
+  VmRecord self;
+  self.m_id = "a";
+  self.m_incarnation = 1;
+  ClusterView a(self);
+  a.OnEvent(ListedVm("b"));
+  JobClaims claims;
+  for (int i = 0; i < 20; ++i) {
+    JobClaim claim = {"lost", 1, true, 0, Millis(1)};
+    claims.Record("job-" + std::to_string(i), claim);
+  }
+  const size_t of_fleet =
+      claims.FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere).size();
+  CHECK(of_fleet < 20);
+  CHECK(claims
+            .FindOrphans(a, Millis(1), IsNoScanner, RunsNowhere,
+                         [](std::string_view) { return false; })
+            .size() == 20);
+}
+
+// Guards against items that take the few requests of a cold upstream while warm
+// ones have free slots.
+TEST_CASE("items start at warm upstreams first, and singly at cold ones") {
+  Random random(1);
+  CandidateLoad warm;
+  warm.m_slots = 4;
+  CandidateLoad cold = warm;
+  cold.m_cold = true;
+  const std::vector<CandidateLoad> loads = {cold, warm, cold};
+  CHECK(PlanItemStarts(loads, 2, 2, random) == std::vector<int>{0, 2, 0});
+  CHECK(PlanItemStarts(loads, 9, 9, random) == std::vector<int>{1, 3, 1});
+  CHECK(PlanItemStarts(loads, 0, 5, random) == std::vector<int>{0, 0, 0});
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -8,6 +8,7 @@
 using nlohmann::json;
 
 constexpr std::string_view kConfigKey = "op/config";
+constexpr std::string_view kEvacuatePrefix = "op/evacuate/";
 
 // Position of the batch route.
 constexpr size_t kBatchRoute = 4;
@@ -88,6 +89,29 @@
   Publish(version);
 }
 
+void PlatformOperatorStandin::PublishCold(int version,
+                                          double cold_s,
+                                          double cold_per_s) {
+  m_config["services"][0]["coldS"] = cold_s;
+  m_config["services"][0]["coldPerS"] = cold_per_s;
+  Publish(version);
+}
+
+void PlatformOperatorStandin::PublishRegions(
+    int version,
+    const std::vector<std::string>& regions) {
+  m_config["tenants"][0]["allowedRegions"] = regions;
+  Publish(version);
+}
+
+void PlatformOperatorStandin::Evacuate(const std::string& zone) {
+  m_store.Put(Concat(kEvacuatePrefix, zone), "{}");
+}
+
+void PlatformOperatorStandin::WithdrawEvacuation(const std::string& zone) {
+  m_store.Remove(Concat(kEvacuatePrefix, zone));
+}
+
 void PlatformOperatorStandin::PublishUnreadable() {
   m_store.Put(std::string(kConfigKey), R"({"version":"x"})");
 }
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -53,6 +53,10 @@
   for (int i = 0; i < m_options.m_engines; ++i) {
     PlatformReplicaOptions engine = m_options.m_engine;
     engine.m_id = Concat("i-", i);
+    if (!m_options.m_engine_zones.empty()) {
+      engine.m_zone = m_options.m_engine_zones[static_cast<size_t>(i) %
+                                               m_options.m_engine_zones.size()];
+    }
     m_engines.push_back(
         std::make_unique<PlatformReplicaStandin>(m_store, engine));
   }
@@ -104,7 +108,8 @@
                                ? vm.m_store_proxy->Address()
                                : m_store.Address();
   std::ofstream file(Concat(vm.m_folder, "/settings.toml"));
-  file << "[vm]\nid = \"vm-" << index << "\"\navailability_zone = \"zone-a\"\n"
+  file << "[vm]\nid = \"vm-" << index << "\"\navailability_zone = \""
+       << m_options.m_vm_zones[index % m_options.m_vm_zones.size()] << "\"\n"
        << "[listen]\ncallers = \"" << m_ip << ":" << vm.m_callers << "\"\n"
        << "readiness = \"" << m_ip << ":" << vm.m_readiness << "\"\n"
        << "peers = \"" << m_ip << ":" << vm.m_peers << "\"\n"
@@ -114,7 +119,8 @@
        << "\"\nhistory_ms = " << m_options.m_store_history.count() << "\n"
        << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
        << "\"]\n"
-       << "[limits]\ndrain_limit_ms = 8000\n";
+       << "[placement]\n"
+       << m_options.m_placement << "[limits]\ndrain_limit_ms = 8000\n";
 }
 
 void GatewayCluster::StartVm(size_t index) {
