Use cold upstreams by a cost, and hold requests after a freeze only on request

Requests are held after a freeze only if [placement] evacuate_ms is set, so that other deployments are served as before. A job with homes isn't passed on to other groups.

--- a/packages/dispatch/pick_upstream.cc
+++ b/packages/dispatch/pick_upstream.cc
@@ -12,6 +12,9 @@
 // Cost of a request to another zone, in slots.
 constexpr double kZoneCost = 0.06;
 
+// Cost of a request to a cold upstream, in slots: it is slow for some seconds.
+constexpr double kColdCost = 1;
+
 // Maximum random part of the cost, in slots. It keeps VMs with the same
 // outdated load data from all picking the same upstream.
 constexpr double kJitter = 0.12;
@@ -26,9 +29,6 @@
 // Whether `a` is preferred to `b`, whatever they cost.
 std::optional<bool> PrefersByClass(const CandidateLoad& a,
                                    const CandidateLoad& b) {
-  if (a.m_cold != b.m_cold) {
-    return b.m_cold;
-  }
   if (a.m_slow != b.m_slow) {
     return b.m_slow;
   }
@@ -73,6 +73,7 @@
     double cost = busy / (load.m_slots * speed);
     cost += (preempts ? kPreemptCost : 0) / load.m_slots;
     cost += (load.m_same_zone ? 0 : kZoneCost) / load.m_slots;
+    cost += (load.m_cold ? kColdCost : 0) / load.m_slots;
     cost += kJitter * RandomUnit(random) / load.m_slots;
     const bool is_better =
         !best || PrefersByClass(load, loads[*best]).value_or(cost < best_cost);
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -106,12 +106,9 @@
   // The load that other VM groups put on the remaining upstreams is unknown,
   // but an estimate is better than waiting.
   std::vector<UpstreamPtr> others;
-  if (upstream == nullptr || upstream->IsColdAt(now)) {
+  if (upstream == nullptr) {
     others = SampleOtherUpstreams(request.m_regions);
-    const UpstreamPtr other = Pick(others, request, has_untried);
-    if (other != nullptr && (upstream == nullptr || !other->IsColdAt(now))) {
-      upstream = other;
-    }
+    upstream = Pick(others, request, has_untried);
   }
   // Upstreams that were already tried are used again only if there is no other.
   if (upstream == nullptr && !has_untried && !request.m_excluded.empty()) {
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -57,7 +57,10 @@
 
   // Holds requests back for a short time if the process was frozen since the
   // last call, and returns whether it was. Must be called regularly.
-  bool HoldAfterFreeze(Millis now) { return DetectFreeze(m_freeze, now); }
+  bool HoldAfterFreeze(Millis now) {
+    return m_placement.m_evacuation_bound > Millis() &&
+           DetectFreeze(m_freeze, now);
+  }
   void EndHold() { m_freeze.m_hold_until = Millis(); }
   // Whether no request may be sent for now.
   bool IsHeldAt(Millis now) const { return IsHeld(m_freeze, now); }
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -38,6 +38,8 @@
       placement.GetDouble("cold_over", read.m_cold_over, 0, kMaxColdOver);
   read.m_cold_slack =
       placement.GetDouble("cold_slack", read.m_cold_slack, 0, kMaxColdSlack);
+  read.m_evacuation_bound =
+      Millis(placement.GetInt("evacuate_ms", 0, 0, kMaxMs));
   read.m_region = placement.GetString("region", "");
   TomlTable zones(placement.GetTable("zone_regions"), faults);
   for (const std::string& zone : zones.GetNames()) {
--- a/packages/gateway/job_submission.cc
+++ b/packages/gateway/job_submission.cc
@@ -11,6 +11,7 @@
 #include "gateway/peer_calls.h"
 #include "jobs/job_placement.h"
 #include "jobs/job_service.h"
+#include "placement/home_regions.h"
 
 namespace bronzecross {
 namespace {
@@ -200,7 +201,10 @@
                                             bool& may_exist) {
   const bool has_time = MonotonicNow() + kForwardTimeout + kOwnAttemptTime <
                         submission.m_deadline;
-  if (!node.m_settings.m_forward_jobs || !has_time ||
+  // The groups of other regions may not hold the items of a job with homes.
+  const bool has_homes =
+      AllowedRegionsOf(*request.m_route, request.m_workspace).IsLimited();
+  if (!node.m_settings.m_forward_jobs || !has_time || has_homes ||
       node.m_jobs->IsOwner(submission.m_job) ||
       !node.m_jobs->OwnerOf(submission.m_job).empty()) {
     co_return std::nullopt;
--- a/packages/placement/placement_settings.h
+++ b/packages/placement/placement_settings.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <string>
 
+#include "base/clock.h"
+
 namespace bronzecross {
 
 struct PlacementSettings {
@@ -17,6 +19,9 @@
   // `m_cold_slack` requests within a second to one cold upstream.
   double m_cold_over = 1.5;
   double m_cold_slack = 5;
+  // Time within which an evacuation must be in force. Zero: evacuations are
+  // obeyed as soon as they are known.
+  Millis m_evacuation_bound;
 };
 
 }  // namespace bronzecross
--- a/tests/integration/gateway_evacuation_test.cc
+++ b/tests/integration/gateway_evacuation_test.cc
@@ -37,6 +37,7 @@
   GatewayClusterOptions options;
   options.m_store_proxies = true;
   options.m_engine_zones = {"zone-a", "zone-b"};
+  options.m_placement = "evacuate_ms = 5000\n";
   return options;
 }
 
