Settle the token lines when this VM's share of the limits changes

Requests in line wait for the time at which the share was expected to become active; it may become active earlier.

--- a/packages/quota/quota_manager.cc
+++ b/packages/quota/quota_manager.cc
@@ -352,6 +352,12 @@
   m_share_active_since = now;
   m_share_was_active = m_share_was_active || is_active;
   m_share_active_changed.NotifyAll();
+  if (HasMultipleGroups()) {
+    // Tokens may accrue earlier or later than the line expected.
+    for (auto entry = m_accounts.begin(); entry != m_accounts.end(); ++entry) {
+      SettleAccount(*entry->second, now);
+    }
+  }
   Log(is_active ? Severity::kInfo : Severity::kWarning, LogPart::kLimits,
       is_active ? "Using this VM's share of the limits."
                 : "Not using this VM's share of the limits.",
