Bound how long handed over tokens and moved senders count

A handover now counts for 3 s, and keeps a shard only while the stopping giver is the listed owner; two tests play both.

From the same review: a VM that becomes a sender of an upstream which is cold already waits until all VMs have the same view; the senders are chosen again only if the registered VMs or the limits change; a failed read of the store no longer pauses a takeover by 5 s where homes exist; a job is passed on only to a VM that reports its load, within the time that the other one needs to reject it; a deregistered upstream keeps no connections.

--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -46,14 +46,17 @@
 }
 
 void ClusterView::Put(const VmRecord& record) {
-  ++m_registration_version;
   if (record.m_id == m_self.m_id) {
+    const bool was_listed = m_self_listed;
     m_self_listed = record.m_incarnation == m_self.m_incarnation;
+    m_registration_version += was_listed == m_self_listed ? 0 : 1;
     m_replaces_earlier_incarnation =
         m_replaces_earlier_incarnation || !m_self_listed;
     return;
   }
   PeerVm& peer = m_peers[record.m_id];
+  m_registration_version +=
+      peer.m_listed && peer.m_record.m_zone == record.m_zone ? 0 : 1;
   if (!peer.m_listed || peer.m_record.m_incarnation != record.m_incarnation) {
     Log(Severity::kInfo, LogPart::kMembership, "A VM is registered.",
         {{"vm", record.m_id},
--- a/packages/dispatch/cold_upstreams.cc
+++ b/packages/dispatch/cold_upstreams.cc
@@ -7,6 +7,13 @@
 #include "base/metrics.h"
 
 namespace bronzecross {
+namespace {
+
+// Views of the fleet differ by at most about this time: watches, gathered
+// changes and the interval between updates.
+constexpr Millis kSenderChangeDelay{1'700};
+
+}  // namespace
 
 void ColdUpstreams::Watch(const UpstreamPtr& upstream) {
   if (upstream->IsColdAt(MonotonicNow()) && m_cold.insert(upstream).second) {
@@ -30,6 +37,7 @@
       return false;
     }
     m_new.erase(upstream);
+    m_planned.erase(upstream);
     SetColdRate(upstream->m_cold_pacer, 0, now);
     Log(Severity::kInfo, LogPart::kUpstreams, "An upstream is no longer cold.",
         {{"upstream", upstream->m_entry.m_id}});
@@ -60,6 +68,10 @@
   }
   const std::string& self = cluster.Self().m_id;
   for (const UpstreamPtr& upstream : m_new) {
+    // A VM that becomes a sender of an upstream that is cold already replaces
+    // another one, whose view of the fleet may be older.
+    const Millis first_delay =
+        m_planned.insert(upstream).second ? Millis() : kSenderChangeDelay;
     const ColdSendPlan plan =
         PlanColdSends(ColdBound(upstream->m_cold_limits, m_settings),
                       static_cast<int>(vms.size()));
@@ -67,7 +79,8 @@
         upstream->m_entry.m_id, upstream->m_entry.m_zone, vms, plan.m_senders);
     const bool is_sender = may_send && std::find(senders.begin(), senders.end(),
                                                  self) != senders.end();
-    SetColdRate(upstream->m_cold_pacer, is_sender ? plan.m_per_s : 0, now);
+    SetColdRate(upstream->m_cold_pacer, is_sender ? plan.m_per_s : 0, now,
+                first_delay);
   }
 }
 
--- a/packages/dispatch/cold_upstreams.h
+++ b/packages/dispatch/cold_upstreams.h
@@ -23,6 +23,8 @@
   // Notes that `upstream` may be cold. A cold upstream gets nothing from this
   // VM before the next Update().
   void Watch(const UpstreamPtr& upstream);
+  // The limits of services have changed: the senders are chosen again.
+  void OnLimitsChange() { m_new = m_cold; }
   // Updates the senders after changes. `may_send` tells whether this VM is
   // certainly registered: while it isn't, another one may have taken its place.
   // Must be called regularly; visits the cold upstreams only.
@@ -36,6 +38,8 @@
   absl::flat_hash_set<UpstreamPtr> m_cold;
   // Those of m_cold for which the senders haven't been computed.
   absl::flat_hash_set<UpstreamPtr> m_new;
+  // The cold upstreams whose senders have been chosen.
+  absl::flat_hash_set<UpstreamPtr> m_planned;
   // The state of the fleet for which they were computed.
   int64_t m_fleet_version = -1;
   bool m_may_send = false;
--- a/packages/dispatch/pick_upstream.h
+++ b/packages/dispatch/pick_upstream.h
@@ -24,7 +24,7 @@
   bool m_same_zone = false;
   bool m_usable = true;      // healthy, not draining, not yet tried
   bool m_slow = false;       // gets requests only if no other has a slot
-  bool m_cold = false;       // gets requests only if no warm one has a slot
+  bool m_cold = false;       // slow for some seconds, costs a slot more
   bool m_cold_held = false;  // unusable only as its cold rate is used up
   bool m_probe = false;  // was slow; one request shall show whether it still is
 };
@@ -35,8 +35,7 @@
 bool ShouldAnnounceLoad(int total, int slots);
 
 // Returns the index of the picked upstream; std::nullopt if none has a free or
-// preemptible slot. A slow upstream is picked only if no other warm one has
-// one, and a cold one only if no warm one has.
+// preemptible slot. A slow upstream is picked only if no other has one.
 std::optional<size_t> PickUpstream(std::span<const CandidateLoad> loads,
                                    Random& random);
 
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -124,12 +124,14 @@
     ApplyLimits(*entry->second);
     m_cold_upstreams.Watch(entry->second);
   }
+  m_cold_upstreams.OnLimitsChange();
 }
 
 void UpstreamTable::UpdateCold(const ClusterView& cluster,
                                bool may_send,
                                Millis now) {
   if (m_cold_limits.empty()) {
+    m_cold_upstreams.Update(cluster, may_send, now);
     return;
   }
   // A response may have said that its upstream is cold.
@@ -214,6 +216,7 @@
 
 void UpstreamTable::Deregister(const UpstreamPtr& upstream) {
   upstream->m_deregistered = true;
+  upstream->m_pool.Clear();
   if (!upstream->m_leaving && !IsInUse(*upstream)) {
     return;
   }
--- a/packages/gateway/job_submission.cc
+++ b/packages/gateway/job_submission.cc
@@ -23,8 +23,12 @@
 constexpr Millis kMaxReportAge{1'800};
 
 // Time for another VM to store a job, if the caller leaves enough for a second
-// attempt here.
-constexpr Millis kForwardTimeout{300};
+// attempt here. It is longer than a VM tries to store a job that the store
+// rejects (350 ms), so that the rejection is reported in time.
+constexpr Millis kForwardTimeout{500};
+
+// Part of it that is left for the reply.
+constexpr Millis kForwardMargin{50};
 
 // Part of the wait budget that is needed to store the job here after the other
 // VM didn't reply.
@@ -63,7 +67,9 @@
         items += backlog.m_service == key ? backlog.m_items : 0;
       }
     });
-    if (items > 0) {
+    // Engines without items are reported, too: a VM that reports nothing takes
+    // no jobs of others.
+    if (items > 0 || service.m_is_engine) {
       visit(key, items, slots);
     }
   }
@@ -79,13 +85,14 @@
   return load;
 }
 
-double ReportedLoad(const GossipMessage& gossip, uint32_t service) {
+std::optional<double> ReportedLoad(const GossipMessage& gossip,
+                                   uint32_t service) {
   for (const BatchLoadReport& report : gossip.m_batch_loads) {
     if (report.m_service == service) {
       return report.m_load;
     }
   }
-  return 0;
+  return std::nullopt;
 }
 
 // Returns the VM of another group that should run a new job of `service`, or an
@@ -107,10 +114,11 @@
       std::min(peers.size(), static_cast<size_t>(kSampledPeers));
   for (size_t i = 0; i < sampled; ++i) {
     const PeerVm& vm = peer->second;
-    if (!group.Contains(peer->first) && vm.m_gossip.m_reaches_store &&
+    const std::optional<double> load = ReportedLoad(vm.m_gossip, key);
+    if (load && !group.Contains(peer->first) && vm.m_gossip.m_reaches_store &&
         IsRecentlySeen(vm, now, kMaxReportAge)) {
-      candidates.push_back({ReportedLoad(vm.m_gossip, key),
-                            vm.m_record.m_zone == node.m_settings.m_zone});
+      candidates.push_back(
+          {*load, vm.m_record.m_zone == node.m_settings.m_zone});
       ids.push_back(peer->first);
     }
     ++peer;
@@ -167,7 +175,7 @@
              "&workspace=", EncodeQueryValue(submission.m_workspace),
              "&route=", EncodeQueryValue(route),
              "&host=", EncodeQueryValue(submission.m_host),
-             "&wait=", kForwardTimeout.count());
+             "&wait=", (kForwardTimeout - kForwardMargin).count());
   request.m_body = std::move(body);
   Result<WholeResponse> response =
       co_await node.m_peer_calls->Call(host, std::move(request), until);
--- a/packages/gateway/peer_calls.h
+++ b/packages/gateway/peer_calls.h
@@ -56,6 +56,7 @@
 inline constexpr std::string_view kPeerTokensField = "X-Tokens";
 inline constexpr std::string_view kPeerFromField = "X-From";
 inline constexpr std::string_view kPeerIncarnationField = "X-Incarnation";
+inline constexpr std::string_view kPeerStoppingField = "X-Stopping";
 // A revision of the store.
 inline constexpr std::string_view kPeerAfterField = "X-After";
 // Set if only a VM that watches the store itself may reply.
--- a/packages/gateway/token_calls.cc
+++ b/packages/gateway/token_calls.cc
@@ -92,6 +92,9 @@
            Concat(static_cast<int64_t>(handover.m_tokens * kTokenUnits)));
   head.Add(kPeerFromField, handover.m_from);
   head.Add(kPeerIncarnationField, Concat(handover.m_from_incarnation));
+  if (handover.m_is_stopping) {
+    head.Add(kPeerStoppingField, "1");
+  }
 }
 
 std::optional<TokenHandover> DecodeTokenHandover(const MessageHead& head) {
@@ -109,6 +112,7 @@
   handover.m_tokens = static_cast<double>(*tokens) / kTokenUnits;
   handover.m_from = std::string(head.Find(kPeerFromField));
   handover.m_from_incarnation = static_cast<uint64_t>(*incarnation);
+  handover.m_is_stopping = !head.Find(kPeerStoppingField).empty();
   return handover;
 }
 
--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -7,8 +7,7 @@
 //   bx/job/ID/partial    output of unfinished items, saved at intervals; a new
 //                        owner resumes from it
 //   bx/open/ID           the name of the job's route, while the job is open;
-//   the
-//                        index of open jobs
+//                        these keys are the index of open jobs
 
 #ifndef BRONZECROSS_JOBS_JOB_RECORD_H_
 #define BRONZECROSS_JOBS_JOB_RECORD_H_
--- a/packages/jobs/job_takeover.cc
+++ b/packages/jobs/job_takeover.cc
@@ -48,7 +48,7 @@
       key, now, [this](std::string_view zone) { return IsInScope(zone); });
 }
 
-Task<bool> JobTakeover::MayHold(std::string id) {
+Task<std::optional<bool>> JobTakeover::MayHold(std::string id) {
   const FleetConfigPtr config = m_dependencies.m_config();
   if (config == nullptr || !config->m_has_homes) {
     co_return true;
@@ -56,9 +56,17 @@
   const Result<StoredState> stored = co_await m_store.ReadState(id);
   if (!stored) {
     // Without a state there is no job, and the takeover settles that.
-    co_return stored.error().m_code == ResultCode::kNotFound;
+    co_return stored.error().m_code == ResultCode::kNotFound
+        ? std::optional<bool>(true)
+        : std::nullopt;
+  }
+  if (stored->m_state.m_owner == m_dependencies.m_cluster.Self().m_id) {
+    co_return true;
   }
   const Result<std::string> name = co_await m_store.ReadRoute(id);
+  if (!name && name.error().m_code != ResultCode::kNotFound) {
+    co_return std::nullopt;
+  }
   const Millis now = MonotonicNow();
   if (stored->m_state.m_phase != JobPhase::kOpen) {
     m_table.m_claims.Record(id,
@@ -86,8 +94,11 @@
     m_table.m_unsettled.erase(id);
     co_return;
   }
-  const bool may_hold = co_await MayHold(id);
+  const std::optional<bool> may_hold = co_await MayHold(id);
   if (!may_hold) {
+    co_return;  // the store can't be read; the next check tries again
+  }
+  if (!*may_hold) {
     m_declined[id] = MonotonicNow() + kDeclinedPause;
     Settle(id, MonotonicNow());
     co_return;
--- a/packages/jobs/job_takeover.h
+++ b/packages/jobs/job_takeover.h
@@ -41,7 +41,7 @@
   void Settle(std::string_view id, Millis now);
   // Returns whether this VM may hold the bodies of an open job that it hasn't
   // read. The route and the workspace may limit them to regions.
-  Task<bool> MayHold(std::string id);
+  Task<std::optional<bool>> MayHold(std::string id);
   // Returns the VM that takes over the job `key`. If regions matter, each
   // region has one, of which those that may not hold the job leave it.
   std::string FirstVmFor(std::string_view key, Millis now) const;
--- a/packages/placement/cold_senders.cc
+++ b/packages/placement/cold_senders.cc
@@ -54,13 +54,17 @@
   return senders;
 }
 
-void SetColdRate(ColdPacer& pacer, double per_s, Millis now) {
+void SetColdRate(ColdPacer& pacer,
+                 double per_s,
+                 Millis now,
+                 Millis first_delay) {
   if (pacer.m_per_s == per_s) {
     return;
   }
   pacer.m_per_s = per_s;
   if (per_s > 0) {
-    pacer.m_next = std::max(pacer.m_next, now + SendInterval(per_s));
+    pacer.m_next = std::max(pacer.m_next,
+                            now + std::max(SendInterval(per_s), first_delay));
   }
 }
 
--- a/packages/placement/cold_senders.h
+++ b/packages/placement/cold_senders.h
@@ -55,8 +55,12 @@
 };
 
 // Changes the rate. The next request waits for a whole interval, so that a VM
-// that has just become a sender doesn't add to a burst.
-void SetColdRate(ColdPacer& pacer, double per_s, Millis now);
+// that has just become a sender doesn't add to a burst, and at least for
+// `first_delay`.
+void SetColdRate(ColdPacer& pacer,
+                 double per_s,
+                 Millis now,
+                 Millis first_delay = Millis());
 bool HasColdToken(const ColdPacer& pacer, Millis now);
 void TakeColdToken(ColdPacer& pacer, Millis now);
 
--- a/packages/quota/owner_admission.cc
+++ b/packages/quota/owner_admission.cc
@@ -55,7 +55,7 @@
 };
 
 TokenSupply QuotaManager::Supply(const Account& account, Millis now) const {
-  if (!IsAwaitingShare(now) || !account.m_handed.empty()) {
+  if (!IsAwaitingShare(now) || CountHanded(account, now) > 0) {
     return {Share(account, now).m_rate_per_s, now};
   }
   const double part =
--- a/packages/quota/quota_manager.cc
+++ b/packages/quota/quota_manager.cc
@@ -39,9 +39,8 @@
 
 TokenShare QuotaManager::Share(const Account& account, Millis now) const {
   if (HasMultipleGroups()) {
-    const int shards = m_share_active
-                           ? account.m_owned_shards
-                           : static_cast<int>(account.m_handed.size());
+    const int shards =
+        m_share_active ? account.m_owned_shards : CountHanded(account, now);
     const double part = static_cast<double>(shards) / account.m_shard_count;
     return ShareOf(account.m_rate_per_s * part, account.m_burst * part, 1,
                    shards > 0);
@@ -116,6 +115,9 @@
     return nullptr;
   }
   AccountPtr account = GetOrCreateAccount(workspace, now);
+  std::erase_if(account->m_handed, [now](const auto& entry) {
+    return now >= entry.second.m_valid_until;
+  });
   for (const int shard : owned) {
     account->m_shards.emplace(shard, now);
   }
@@ -343,13 +345,17 @@
   const Millis refill_from =
       m_cluster.ReplacesEarlierIncarnation() ? std::min(m_created, now) : now;
   for (auto entry = m_accounts.begin(); entry != m_accounts.end(); ++entry) {
-    if (!m_share_was_active) {
+    if (!m_share_was_active && entry->second->m_handed.empty()) {
       entry->second->m_bucket.m_refilled = refill_from;
+      for (auto shard = entry->second->m_shards.begin();
+           shard != entry->second->m_shards.end(); ++shard) {
+        shard->second = refill_from;
+      }
     }
     Refill(*entry->second, now);
   }
   m_share_active = is_active;
-  m_share_active_since = now;
+  m_earns_from = m_share_was_active ? now : refill_from;
   m_share_was_active = m_share_was_active || is_active;
   m_share_active_changed.NotifyAll();
   if (HasMultipleGroups()) {
--- a/packages/quota/quota_manager.h
+++ b/packages/quota/quota_manager.h
@@ -111,11 +111,13 @@
     // The owned shards, and since when.
     std::map<int, Millis> m_shards;
     // The shards whose tokens were handed over, and by whom.
-    struct Giver {
+    struct Handed {
       std::string m_from;
       uint64_t m_from_incarnation = 0;
+      bool m_is_stopping = false;  // the giver
+      Millis m_valid_until;
     };
-    std::map<int, Giver> m_handed;
+    std::map<int, Handed> m_handed;
     double m_rate_per_s = 0;
     double m_burst = 0;
     TokenBucket m_bucket;
@@ -163,8 +165,10 @@
   Task<bool> TakeFromOtherShard(TokenRequest request,
                                 Workspace workspace,
                                 AccountPtr account);
-  // Whether the earlier owner of a shard, which has handed its tokens over, is
-  // still listed, so that the list of VMs doesn't show the new owner yet.
+  // Returns the number of shards that this VM may use by a handover.
+  static int CountHanded(const Account& account, Millis now);
+  // Whether the list of VMs still names the earlier owner of a shard, which has
+  // handed its tokens over to this VM and is about to stop.
   bool IsHeldByHandover(const Account& account, int shard, Millis now) const;
   // Removes a shard and sends its tokens to `receiver`.
   void HandOver(Account& account, int shard, const std::string& receiver);
@@ -218,7 +222,8 @@
   const Millis m_created = MonotonicNow();
   bool m_share_active = false;
   bool m_share_was_active = false;  // at any time since the start
-  Millis m_share_active_since;
+  // Since when an active share earns tokens.
+  Millis m_earns_from;
   bool m_released = false;  // HandOverAll() was called
   Condition m_share_active_changed;
   // Keyed by ShortHash of the workspace's name.
--- a/packages/quota/token_handover.cc
+++ b/packages/quota/token_handover.cc
@@ -29,16 +29,27 @@
     return !m_released;
   }
   const auto found = m_accounts.find(ShortHash(workspace.m_name));
-  return found != m_accounts.end() && !found->second->m_handed.empty();
+  return found != m_accounts.end() &&
+         CountHanded(*found->second, MonotonicNow()) > 0;
+}
+
+int QuotaManager::CountHanded(const Account& account, Millis now) {
+  return static_cast<int>(std::count_if(
+      account.m_handed.begin(), account.m_handed.end(),
+      [now](const auto& entry) { return now < entry.second.m_valid_until; }));
 }
 
 bool QuotaManager::IsHeldByHandover(const Account& account,
                                     int shard,
                                     Millis now) const {
   const auto found = account.m_handed.find(shard);
-  return found != account.m_handed.end() &&
-         m_cluster.IsAlive(found->second.m_from,
-                           found->second.m_from_incarnation, now);
+  if (found == account.m_handed.end()) {
+    return false;
+  }
+  const Account::Handed& handed = found->second;
+  return handed.m_is_stopping && now < handed.m_valid_until &&
+         m_cluster.IsAlive(handed.m_from, handed.m_from_incarnation, now) &&
+         FindQuotaOwner(m_cluster, account.m_name, shard, now) == handed.m_from;
 }
 
 void QuotaManager::HandOver(Account& account,
@@ -51,8 +62,10 @@
       account.m_bucket.m_tokens, static_cast<int>(account.m_shards.size()));
   handover.m_from = m_cluster.Self().m_id;
   handover.m_from_incarnation = m_cluster.Self().m_incarnation;
+  handover.m_is_stopping = m_released;
   account.m_bucket.m_tokens -= handover.m_tokens;
-  const bool has_earned = m_share_active || account.m_handed.contains(shard);
+  const bool has_earned =
+      m_share_active || CountHanded(account, MonotonicNow()) > 0;
   account.m_shards.erase(shard);
   account.m_handed.erase(shard);
   if (!has_earned || m_owner_client == nullptr ||
@@ -106,12 +119,12 @@
   }
   const AccountPtr account = GetOrCreateAccount(workspace, now);
   const auto owned = account->m_shards.find(handover.m_shard);
-  const Millis both_earned =
-      owned != account->m_shards.end() && m_share_active
-          ? now - std::max(owned->second, m_share_active_since)
-          : Millis();
-  account->m_handed[handover.m_shard] = {handover.m_from,
-                                         handover.m_from_incarnation};
+  const Millis both_earned = owned != account->m_shards.end() && m_share_active
+                                 ? now - std::max(owned->second, m_earns_from)
+                                 : Millis();
+  account->m_handed[handover.m_shard] = {
+      handover.m_from, handover.m_from_incarnation, handover.m_is_stopping,
+      now + kHandoverValidity};
   account->m_shards.emplace(handover.m_shard, now);
   account->m_owned_shards = static_cast<int>(account->m_shards.size());
   account->m_shard_count = shard_count;
--- a/packages/quota/token_handover.h
+++ b/packages/quota/token_handover.h
@@ -21,8 +21,15 @@
   // The VM that held them.
   std::string m_from;
   uint64_t m_from_incarnation = 0;
+  // That VM is about to stop, and the list of VMs still names it as the owner.
+  bool m_is_stopping = false;
 };
 
+// How long a handover lets its receiver grant tokens without its share of the
+// limits, and own a shard for which the list still names the giver. The list
+// and the share follow within about two seconds.
+inline constexpr Millis kHandoverValidity{3'000};
+
 // Returns the part of a bucket that belongs to one of `owned` shards.
 double TokensOfOneShard(double tokens, int owned);
 
--- a/packages/quota/token_handover_test.cc
+++ b/packages/quota/token_handover_test.cc
@@ -212,6 +212,56 @@
   CHECK(network.m_handovers == 2);
 }
 
+Task<> SleepAndStop(Network& network, Millis time) {
+  co_await Sleep(time);
+  network.m_loop.Stop();
+}
+
+// Guards against a VM that was cut off from the fleet and grants tokens for
+// good because it once received some.
+TEST_CASE("a handover counts for a short time only") {
+  Network network;
+  Vm& vm = network.Start("vm-asker", 1);
+  TokenHandover handover;
+  handover.m_workspace = "workspace";
+  handover.m_tokens = 10;
+  handover.m_from = "vm-1";
+  handover.m_from_incarnation = 1;
+  CHECK_FALSE(vm.m_quotas.IsOwnerReady(network.m_workspace));
+  vm.m_quotas.AcceptHandover(handover, network.m_workspace, MonotonicNow());
+  CHECK(vm.m_quotas.IsOwnerReady(network.m_workspace));
+  Spawn(SleepAndStop(network, kHandoverValidity + Millis(50)));
+  network.m_loop.Run();
+  CHECK_FALSE(vm.m_quotas.IsOwnerReady(network.m_workspace));
+}
+
+// Guards against two owners: a receiver that keeps a shard although the giver
+// goes on, or although the list of VMs names a third one.
+TEST_CASE("a received shard is kept only while its giver is the listed owner") {
+  for (const bool is_stopping : {true, false}) {
+    for (const bool is_owner : {true, false}) {
+      CAPTURE(is_stopping);
+      CAPTURE(is_owner);
+      Network network;
+      Vm& vm = network.Start("vm-asker", 1);
+      const std::string owner =
+          FindQuotaOwner(vm.m_cluster, "workspace", 0, MonotonicNow());
+      REQUIRE(owner != "vm-asker");
+      TokenHandover handover;
+      handover.m_workspace = "workspace";
+      handover.m_tokens = 10;
+      handover.m_from = is_owner ? owner : owner == "vm-1" ? "vm-2" : "vm-1";
+      handover.m_from_incarnation = 1;
+      handover.m_is_stopping = is_stopping;
+      vm.m_quotas.AcceptHandover(handover, network.m_workspace, MonotonicNow());
+      GossipMessage gossip;
+      vm.m_quotas.AddToGossip(network.m_config, gossip, MonotonicNow());
+      CHECK(vm.m_quotas.IsOwnerReady(network.m_workspace) ==
+            (is_stopping && is_owner));
+    }
+  }
+}
+
 // Guards against tokens that both owners have earned for the same time.
 TEST_CASE("tokens that both owners earned count once") {
   CHECK(AddHandedTokens(0, 15, 100, Millis(), 20) == doctest::Approx(15));
