--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -57,8 +57,9 @@
 
 struct Service {
   std::string m_name;
-  int m_max_connections = 0;  // per upstream, from all VMs together
-  bool m_is_engine = false;   // a model engine with batched slots
+  int m_max_connections = 0;    // per upstream, from all VMs together
+  bool m_is_engine = false;     // a model engine with batched slots
+  int64_t m_memory_tokens = 0;  // of an engine; 0: unknown
 };
 
 struct Workspace {
