Carry machine reports and tokens in flight in the gossip

VMs of a group need the pace of an upstream's machine and the tokens in flight there. Both go into a list at the end of the message, which is omitted if there is nothing to tell, so that messages of other deployments stay as they are.

--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "cluster/cluster_view.h"
 #include "cluster/vm_registration.h"
 
@@ -116,6 +118,49 @@
   CHECK_FALSE(DecodeGossip("hello"));
 }
 
+// Guards against messages that VMs of earlier versions reject although the
+// deployment has none of the figures, and against reading beyond the uses.
+TEST_CASE("machine reports and tokens travel only where there are any") {
+  GossipMessage gossip = Gossip(Record("b", 7), 9);
+  gossip.m_uses = {{1, 2, 3, 1, 24}, {4, 1, 0, 0, 25}};
+  const std::string without = EncodeGossip(gossip);
+  CHECK(nlohmann::json::from_msgpack(without).size() == 20);
+  REQUIRE(DecodeGossip(without));
+  CHECK(DecodeGossip(without)->m_uses[1].m_machine_percent == 0);
+  gossip.m_uses[1].m_machine_percent = 250;
+  gossip.m_uses[1].m_machine_age = Millis(430);
+  gossip.m_uses[1].m_tokens = 71'000;
+  const std::string bytes = EncodeGossip(gossip);
+  const std::optional<GossipMessage> decoded = DecodeGossip(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->m_uses[0].m_machine_percent == 0);
+  CHECK(decoded->m_uses[0].m_tokens == 0);
+  CHECK(decoded->m_uses[1].m_machine_percent == 250);
+  CHECK(decoded->m_uses[1].m_machine_age == Millis(430));
+  CHECK(decoded->m_uses[1].m_tokens == 71'000);
+  for (size_t i = 0; i < bytes.size(); ++i) {
+    for (int bit = 0; bit < 8; ++bit) {
+      std::string corrupted = bytes;
+      corrupted[i] = static_cast<char>(corrupted[i] ^ (1 << bit));
+      DecodeGossip(corrupted);
+    }
+  }
+  nlohmann::json message = nlohmann::json::from_msgpack(bytes);
+  for (const nlohmann::json& row :
+       {nlohmann::json{2, 100, 0, 0}, nlohmann::json{-1, 100, 0, 0},
+        nlohmann::json{0, 1.5, 0, 0}, nlohmann::json{0, 100, 0}}) {
+    message.back() = row;
+    std::string odd;
+    nlohmann::json::to_msgpack(message, odd);
+    CHECK_FALSE(DecodeGossip(odd));
+  }
+  message.back() = nlohmann::json{0, INT64_MAX, INT64_MAX, INT64_MIN};
+  std::string large;
+  nlohmann::json::to_msgpack(message, large);
+  REQUIRE(DecodeGossip(large));
+  CHECK(DecodeGossip(large)->m_uses[0].m_tokens == 0);
+}
+
 TEST_CASE("older gossip and earlier incarnations are ignored") {
   ClusterView view(Record("a", 1));
   const Millis now(1'000);
--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -41,8 +41,18 @@
   kPosBlamedParts,
   kPosExoneratedParts,
   kPosCount,
+  // Omitted if it would be empty, so that a message without these figures is
+  // the same as before there were any.
+  kPosUseFigures = kPosCount,
 };
 
+// Unit of the ages in kPosUseFigures, which keeps each in one byte.
+constexpr int64_t kUseAgeUnitMs = 10;
+
+// Bounds of received figures.
+constexpr int64_t kMaxPercent = 10'000;
+constexpr int64_t kMaxUseTokens = 1'000'000'000;
+
 // Reads the rows of a flat list of numbers.
 class Rows {
  public:
@@ -131,6 +141,47 @@
   return crashes;
 }
 
+// Each row: the position in the list of uses, the percentage of the machine,
+// the age of that, and the tokens in flight.
+json EncodeUseFigures(std::span<const UpstreamUse> uses) {
+  json rows = json::array();
+  for (size_t i = 0; i < uses.size(); ++i) {
+    const UpstreamUse& use = uses[i];
+    if (use.m_machine_percent > 0 || use.m_tokens > 0) {
+      rows.insert(rows.end(), {json(i), json(use.m_machine_percent),
+                               json(use.m_machine_age.count() / kUseAgeUnitMs),
+                               json(use.m_tokens)});
+    }
+  }
+  return rows;
+}
+
+// Returns false if a row is invalid.
+bool DecodeUseFigures(const json& list, std::vector<UpstreamUse>& uses) {
+  const Rows rows(list, 4);
+  if (!rows.IsValid() ||
+      !std::all_of(list.begin(), list.end(), [](const json& value) {
+        return value.is_number_integer();
+      })) {
+    return false;
+  }
+  for (size_t i = 0; i < rows.Count(); ++i) {
+    const size_t at = rows.At<size_t>(i, 0);
+    if (at >= uses.size()) {
+      return false;
+    }
+    UpstreamUse& use = uses[at];
+    use.m_machine_percent = static_cast<int>(
+        std::clamp<int64_t>(rows.At<int64_t>(i, 1), 0, kMaxPercent));
+    use.m_machine_age =
+        DecodeAge(std::clamp<int64_t>(rows.At<int64_t>(i, 2), 0, kMaxPercent) *
+                  kUseAgeUnitMs);
+    use.m_tokens =
+        std::clamp<int64_t>(rows.At<int64_t>(i, 3), 0, kMaxUseTokens);
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string EncodeGossip(const GossipMessage& gossip) {
@@ -185,26 +236,30 @@
     }
     crashes.push_back(std::move(row));
   }
-  const json message = json::array({kLayoutVersion,
-                                    gossip.m_sender.m_id,
-                                    gossip.m_sender.m_incarnation,
-                                    gossip.m_sender.m_zone,
-                                    gossip.m_sender.m_address.ToString(),
-                                    gossip.m_sequence,
-                                    gossip.m_reaches_store,
-                                    gossip.m_operator_change,
-                                    gossip.m_upstream_change,
-                                    std::move(uses),
-                                    std::move(levels),
-                                    std::move(grants),
-                                    std::move(backlogs),
-                                    std::move(waiting),
-                                    std::move(queues),
-                                    std::move(jobs),
-                                    std::move(request_failures),
-                                    std::move(crashes),
-                                    EncodeParts(gossip.m_blamed_parts),
-                                    EncodeParts(gossip.m_exonerated_parts)});
+  json message = json::array({kLayoutVersion,
+                              gossip.m_sender.m_id,
+                              gossip.m_sender.m_incarnation,
+                              gossip.m_sender.m_zone,
+                              gossip.m_sender.m_address.ToString(),
+                              gossip.m_sequence,
+                              gossip.m_reaches_store,
+                              gossip.m_operator_change,
+                              gossip.m_upstream_change,
+                              std::move(uses),
+                              std::move(levels),
+                              std::move(grants),
+                              std::move(backlogs),
+                              std::move(waiting),
+                              std::move(queues),
+                              std::move(jobs),
+                              std::move(request_failures),
+                              std::move(crashes),
+                              EncodeParts(gossip.m_blamed_parts),
+                              EncodeParts(gossip.m_exonerated_parts)});
+  json use_figures = EncodeUseFigures(gossip.m_uses);
+  if (!use_figures.empty()) {
+    message.push_back(std::move(use_figures));
+  }
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -215,7 +270,8 @@
     return std::nullopt;
   }
   const json message = json::from_msgpack(bytes, true, false);
-  if (!message.is_array() || message.size() != kPosCount ||
+  if (!message.is_array() || message.size() < kPosCount ||
+      message.size() > kPosUseFigures + 1 ||
       message[kPosLayout] != kLayoutVersion || !message[kPosVm].is_string() ||
       !message[kPosIncarnation].is_number() ||
       !message[kPosSequence].is_number() || !message[kPosJobs].is_array() ||
@@ -257,7 +313,11 @@
   for (size_t i = 0; i < uses.Count(); ++i) {
     gossip.m_uses.push_back({uses.At<uint32_t>(i, 0), uses.At<int>(i, 1),
                              uses.At<int>(i, 2), uses.At<int>(i, 3),
-                             uses.At<double>(i, 4)});
+                             uses.At<double>(i, 4), 0, Millis(), 0});
+  }
+  if (message.size() > kPosUseFigures &&
+      !DecodeUseFigures(message[kPosUseFigures], gossip.m_uses)) {
+    return std::nullopt;
   }
   for (size_t i = 0; i < levels.Count(); ++i) {
     gossip.m_levels.push_back({levels.At<uint32_t>(i, 0),
--- a/packages/cluster/gossip_message.h
+++ b/packages/cluster/gossip_message.h
@@ -25,6 +25,13 @@
   // Mean time per request or event, as recently measured by the sender; zero:
   // not measured.
   double m_work_ms = 0;
+  // How long work takes on its machine, in percent of the usual time, by a
+  // recent response to the sender, and the age of that; zero: not reported.
+  int m_machine_percent = 0;
+  Millis m_machine_age;
+  // Tokens of the requests in flight; zero if the upstream's memory isn't
+  // known.
+  int64_t m_tokens = 0;
 };
 
 // Rate tokens of one workspace.
