Place requests by the reports of upstreams and the memory of engines

Upstreams share their machines with other work: on one deployment 15% of them take 2.5 times as long, changing every 600 ms, and nothing used their reports. The latest report of each upstream is kept and weighs in PickUpstream while it is fresh; requests of VMs of other groups steer picks outside the own subset, break ties inside it, and keep batch items from slots that are taken.

An engine crashes if the requests that it holds exceed its memory. Tokens in flight are counted over the group, and a request goes only where it fits.

Run: dispatch_test, platform_test, cluster_test, jobs_test.

--- a/packages/dispatch/pick_upstream.cc
+++ b/packages/dispatch/pick_upstream.cc
@@ -23,6 +23,18 @@
 // other VMs at once.
 constexpr int kAnnounceAtFreeSlots = 2;
 
+// A machine that is faster than usual counts as usual, since all VMs that learn
+// of it would use it at once. The upper bound keeps a slow one in use when the
+// others are nearly full.
+constexpr double kMinMachinePercent = 100;
+constexpr double kMaxMachinePercent = 400;
+
+// Cost of each request of unknown VMs at an upstream of the own subset, and of
+// all of them, in slots. It only breaks ties: such a request may be one of the
+// own group that the gossip hasn't told yet.
+constexpr double kExtraTieCost = 0.02;
+constexpr double kMaxExtraTieCost = 0.1;
+
 double MeanWork(std::span<const CandidateLoad> loads) {
   double sum = 0;
   int count = 0;
@@ -37,6 +49,12 @@
 
 }  // namespace
 
+bool HasOnlineSlot(const CandidateLoad& load) {
+  // Urgent batch items may block at most half of the slots for online requests.
+  const int reserved = std::min(load.m_urgent, load.m_slots / 2);
+  return load.m_online + reserved < load.m_slots;
+}
+
 bool ShouldAnnounceLoad(int total, int slots) {
   return total + kAnnounceAtFreeSlots >= slots;
 }
@@ -48,17 +66,25 @@
   double best_cost = 0;
   for (size_t i = 0; i < loads.size(); ++i) {
     const CandidateLoad& load = loads[i];
-    // Urgent batch items may block at most half of the slots for online
-    // requests.
-    const int reserved = std::min(load.m_urgent, load.m_slots / 2);
-    if (!load.m_usable || load.m_online + reserved >= load.m_slots) {
+    if (!load.m_usable || !HasOnlineSlot(load)) {
       continue;
     }
-    const double speed = mean / (load.m_work_ms > 0 ? load.m_work_ms : mean);
+    const double machine = std::clamp(load.m_machine_percent,
+                                      kMinMachinePercent, kMaxMachinePercent) /
+                           kMinMachinePercent;
+    const double speed =
+        mean / ((load.m_work_ms > 0 ? load.m_work_ms : mean) * machine);
     const bool preempts = load.m_online + load.m_batch >= load.m_slots;
+    const double counted = load.m_online + load.m_batch +
+                           (load.m_in_subset ? 0 : load.m_reported_extra);
     const double busy =
-        std::min(load.m_online + load.m_batch, load.m_slots) + 1.0;
+        std::min(counted, static_cast<double>(load.m_slots)) + 1.0;
     double cost = busy / (load.m_slots * speed);
+    if (load.m_in_subset) {
+      cost +=
+          std::min(kExtraTieCost * load.m_reported_extra, kMaxExtraTieCost) /
+          load.m_slots;
+    }
     cost += (preempts ? kPreemptCost : 0) / load.m_slots;
     cost += (load.m_same_zone ? 0 : kZoneCost) / load.m_slots;
     cost += kJitter * RandomUnit(random) / load.m_slots;
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "aio/wait.h"
+#include "base/metrics.h"
 #include "base/random.h"
 
 namespace bronzecross {
@@ -19,10 +20,7 @@
 int CountSlots(std::span<const UpstreamPtr> upstreams, Millis now) {
   int slots = 0;
   for (const UpstreamPtr& upstream : upstreams) {
-    const bool is_usable =
-        upstream->TakesRequests() &&
-        IsHealthy(upstream->m_health, kFirstByteTimeout, now);
-    slots += is_usable ? upstream->m_entry.m_slots : 0;
+    slots += IsAvailable(*upstream, now) ? upstream->m_entry.m_slots : 0;
   }
   return slots;
 }
@@ -42,13 +40,18 @@
 
 UpstreamPtr SlotQueue::Pick(std::span<const UpstreamPtr> candidates,
                             const SlotRequest& request,
-                            bool& has_untried) const {
+                            Obstacles& obstacles) const {
   std::vector<CandidateLoad> loads =
       GetLoads(candidates, m_zone, MonotonicNow());
   for (size_t i = 0; i < loads.size(); ++i) {
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
                                                  candidates[i]->m_entry.m_id);
-    has_untried = has_untried || loads[i].m_usable;
+    obstacles.m_has_untried = obstacles.m_has_untried || loads[i].m_usable;
+    if (loads[i].m_usable && !FitsMemory(loads[i], request.m_tokens)) {
+      obstacles.m_lacks_memory =
+          obstacles.m_lacks_memory || HasOnlineSlot(loads[i]);
+      loads[i].m_usable = false;
+    }
   }
   const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
   return choice ? candidates[*choice] : nullptr;
@@ -72,30 +75,32 @@
   return sample;
 }
 
-UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request) {
+UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request,
+                                Obstacles& obstacles) {
   const std::vector<UpstreamPtr>& subset = m_upstreams.SubsetOf(m_service);
-  bool has_untried = false;
-  UpstreamPtr upstream = Pick(subset, request, has_untried);
+  UpstreamPtr upstream = Pick(subset, request, obstacles);
   // The load that other VM groups put on the remaining upstreams is unknown,
   // but an estimate is better than waiting.
   std::vector<UpstreamPtr> others;
   if (upstream == nullptr) {
     others = SampleOtherUpstreams();
-    upstream = Pick(others, request, has_untried);
+    upstream = Pick(others, request, obstacles);
   }
   // Upstreams that were already tried are used again only if there is no other.
-  if (upstream == nullptr && !has_untried && !request.m_excluded.empty()) {
+  if (upstream == nullptr && !obstacles.m_has_untried &&
+      !request.m_excluded.empty()) {
     SlotRequest any = request;
     any.m_excluded.clear();
-    upstream = Pick(subset, any, has_untried);
+    upstream = Pick(subset, any, obstacles);
     if (upstream == nullptr) {
-      upstream = Pick(others, any, has_untried);
+      upstream = Pick(others, any, obstacles);
     }
   }
   if (upstream == nullptr) {
     return nullptr;
   }
   ++upstream->m_online;
+  upstream->m_tokens += request.m_tokens;
   m_upstreams.MarkInUse(upstream);
   m_on_placed(*upstream);
   return upstream;
@@ -104,10 +109,14 @@
 Task<UpstreamPtr> SlotQueue::Acquire(SlotRequest request,
                                      Cancellation& cancellation) {
   if (m_waiting.empty()) {
-    UpstreamPtr upstream = TryPlace(request);
+    Obstacles obstacles;
+    UpstreamPtr upstream = TryPlace(request, obstacles);
     if (upstream != nullptr) {
       co_return upstream;
     }
+    if (obstacles.m_lacks_memory) {
+      CountMetric("bronzecross_requests_without_memory_total");
+    }
   }
   Waiting waiting;
   waiting.m_request = std::move(request);
@@ -125,8 +134,9 @@
   co_return waiting.m_assigned;
 }
 
-void SlotQueue::Release(Upstream& upstream) {
+void SlotQueue::Release(Upstream& upstream, int64_t tokens) {
   --upstream.m_online;
+  upstream.m_tokens -= tokens;
   Dispatch();
 }
 
@@ -142,10 +152,13 @@
     if (waiting->m_assigned != nullptr) {
       continue;
     }
-    waiting->m_assigned = TryPlace(waiting->m_request);
+    Obstacles obstacles;
+    waiting->m_assigned = TryPlace(waiting->m_request, obstacles);
     if (waiting->m_assigned != nullptr) {
       waiting->m_done.NotifyAll();
-    } else if (waiting->m_request.m_excluded.empty()) {
+    } else if (waiting->m_request.m_excluded.empty() &&
+               !obstacles.m_lacks_memory) {
+      // A request that only lacks memory doesn't hold up smaller ones.
       return;
     }
   }
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -25,6 +25,8 @@
   std::set<std::string, std::less<>> m_excluded;
   // The request is no longer queued after this instant.
   Millis m_wait_deadline;
+  // Prompt and output tokens at most; 0: unknown.
+  int64_t m_tokens = 0;
 };
 
 class SlotQueue {
@@ -37,9 +39,10 @@
             std::function<void(Upstream&)> on_placed);
 
   // Waits for a slot. Returns null if the wait deadline passes or the request
-  // is cancelled first. The slot stays in use until Release().
+  // is cancelled first. The slot stays in use until Release() with the tokens
+  // of the request.
   Task<UpstreamPtr> Acquire(SlotRequest request, Cancellation& cancellation);
-  void Release(Upstream& upstream);
+  void Release(Upstream& upstream, int64_t tokens);
 
   // Assigns free slots to the queued requests.
   void Dispatch();
@@ -61,14 +64,22 @@
     Condition m_done;
   };
 
-  // Returns an upstream with a slot, or null. Sets `has_untried` if one of the
-  // candidates is usable and wasn't tried before.
+  // What stands in the way of a request that isn't placed.
+  struct Obstacles {
+    // One of the candidates is usable and wasn't tried before.
+    bool m_has_untried = false;
+    // One of the candidates has a slot, but too little memory.
+    bool m_lacks_memory = false;
+  };
+
+  // Returns an upstream with a slot and memory, or null. Sets the members of
+  // `obstacles` that hold.
   UpstreamPtr Pick(std::span<const UpstreamPtr> candidates,
                    const SlotRequest& request,
-                   bool& has_untried) const;
+                   Obstacles& obstacles) const;
   // Returns some of the upstreams that this VM doesn't prefer.
   std::vector<UpstreamPtr> SampleOtherUpstreams() const;
-  UpstreamPtr TryPlace(const SlotRequest& request);
+  UpstreamPtr TryPlace(const SlotRequest& request, Obstacles& obstacles);
 
   std::string m_service;
   std::string m_zone;
@@ -79,6 +90,21 @@
   double m_service_ms = 0;
 };
 
+// Releases a slot at the end of its lifetime.
+class HeldSlot {
+ public:
+  HeldSlot(SlotQueue& queue, Upstream& upstream, int64_t tokens)
+      : m_queue(queue), m_upstream(upstream), m_tokens(tokens) {}
+  ~HeldSlot() { m_queue.Release(m_upstream, m_tokens); }
+  HeldSlot(const HeldSlot&) = delete;
+  HeldSlot& operator=(const HeldSlot&) = delete;
+
+ private:
+  SlotQueue& m_queue;
+  Upstream& m_upstream;
+  int64_t m_tokens;
+};
+
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_DISPATCH_SLOT_QUEUE_H_
--- a/packages/dispatch/upstream.cc
+++ b/packages/dispatch/upstream.cc
@@ -1,7 +1,7 @@
 #include "dispatch/upstream.h"
 
 #include "base/log.h"
-#include "cluster/gossip_message.h"
+#include "base/metrics.h"
 
 namespace bronzecross {
 namespace {
@@ -27,6 +27,70 @@
       {{"upstream", upstream.m_entry.m_id}});
 }
 
+bool IsAvailable(const Upstream& upstream, Millis now) {
+  return upstream.TakesRequests() &&
+         IsHealthy(upstream.m_health, kFirstByteTimeout, now);
+}
+
+EngineMemory MemoryOf(const Upstream& upstream, Millis now) {
+  EngineMemory memory;
+  memory.m_capacity = upstream.m_memory_tokens;
+  memory.m_in_flight = upstream.m_tokens + upstream.m_peer_tokens;
+  memory.m_slots = upstream.m_entry.m_slots;
+  // Upstreams of the subset are used by the own group, whose tokens are known.
+  if (upstream.m_has_unknown_vms && !upstream.m_in_subset) {
+    memory.m_unknown_requests = ReportedExtra(upstream.m_report, now);
+  }
+  return memory;
+}
+
+bool MayStartItem(const Upstream& upstream, int64_t tokens, Millis now) {
+  CandidateLoad load;
+  load.m_online = upstream.Online();
+  load.m_batch = upstream.Batch();
+  const EngineMemory memory = MemoryOf(upstream, now);
+  load.m_free_tokens = FreeTokens(memory);
+  return FitsMemoryAsItem(load, memory, BoundedTokens(tokens));
+}
+
+void AddItem(Upstream& upstream, int64_t tokens) {
+  ++upstream.m_batch;
+  upstream.m_tokens += BoundedTokens(tokens);
+}
+
+void RemoveItem(Upstream& upstream, int64_t tokens) {
+  --upstream.m_batch;
+  upstream.m_tokens -= BoundedTokens(tokens);
+}
+
+UpstreamUse MakeUse(const Upstream& upstream, Millis now) {
+  UpstreamUse use;
+  use.m_upstream = upstream.m_hash;
+  use.m_online = upstream.m_online;
+  use.m_batch = upstream.m_batch;
+  use.m_urgent = upstream.m_urgent;
+  use.m_work_ms = ReportedWorkMs(upstream.m_pace, now);
+  const std::optional<MachineReport> machine =
+      FreshMachineReport(upstream.m_report, now);
+  if (machine) {
+    use.m_machine_percent = machine->m_percent;
+    use.m_machine_age = now - machine->m_time;
+  }
+  if (upstream.m_memory_tokens > 0) {
+    use.m_tokens = upstream.m_tokens;
+  }
+  return use;
+}
+
+void RecordLoad(Upstream& upstream,
+                const platform::UpstreamReportedLoad& load,
+                Millis now) {
+  RecordReport(upstream.m_report, load, upstream.Online() + upstream.Batch(),
+               now);
+  CountMetric("bronzecross_upstream_reports_total",
+              {{"machine", load.m_machine_percent ? "yes" : "no"}});
+}
+
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events) {
   if (events == 0) {
     return;
@@ -62,8 +126,13 @@
     load.m_urgent = upstream->Urgent();
     load.m_work_ms = CurrentWorkMs(upstream->m_pace, now);
     load.m_same_zone = upstream->m_entry.m_zone == zone;
-    load.m_usable = upstream->TakesRequests() &&
-                    IsHealthy(upstream->m_health, kFirstByteTimeout, now);
+    load.m_machine_percent = CurrentMachinePercent(upstream->m_report, now);
+    load.m_reported_extra = upstream->m_has_unknown_vms
+                                ? ReportedExtra(upstream->m_report, now)
+                                : 0;
+    load.m_free_tokens = FreeTokens(MemoryOf(*upstream, now));
+    load.m_in_subset = upstream->m_in_subset;
+    load.m_usable = IsAvailable(*upstream, now);
     if (load.m_usable) {
       work_times.push_back(load.m_work_ms);
     }
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -9,9 +9,12 @@
 #include <string_view>
 #include <vector>
 
+#include "cluster/gossip_message.h"
+#include "dispatch/engine_memory.h"
 #include "dispatch/pick_upstream.h"
 #include "dispatch/upstream_health.h"
 #include "dispatch/upstream_pace.h"
+#include "dispatch/upstream_report.h"
 #include "fleet/upstream_entry.h"
 #include "http1/connection_pool.h"
 
@@ -31,6 +34,8 @@
   bool m_leaving = false;
   // Whether this VM's group prefers it (upstream_subset.h).
   bool m_in_subset = true;
+  // Whether VMs use it of whose requests this VM doesn't hear by gossip.
+  bool m_has_unknown_vms = false;
 
   ConnectionPool m_pool;
   UpstreamHealth m_health;
@@ -43,6 +48,12 @@
   int m_peer_online = 0;
   int m_peer_batch = 0;
   int m_peer_urgent = 0;
+  // Tokens of these requests.
+  int64_t m_tokens = 0;
+  int64_t m_peer_tokens = 0;
+  // By the configuration of its service; 0: unknown.
+  int64_t m_memory_tokens = 0;
+  UpstreamReport m_report;
   UpstreamPace m_pace;
   // Whether m_pace holds the times of events rather than of requests.
   bool m_streams = false;
@@ -60,6 +71,26 @@
 // Stops new requests to an upstream whose response says that it is leaving.
 void MarkLeaving(Upstream& upstream);
 
+// Returns whether `upstream` is expected to answer a request.
+bool IsAvailable(const Upstream& upstream, Millis now);
+
+EngineMemory MemoryOf(const Upstream& upstream, Millis now);
+
+// Returns whether a batch item of `tokens` may start at `upstream`.
+bool MayStartItem(const Upstream& upstream, int64_t tokens, Millis now);
+
+// Count a batch item of this VM at `upstream`, and its end.
+void AddItem(Upstream& upstream, int64_t tokens);
+void RemoveItem(Upstream& upstream, int64_t tokens);
+
+// Returns what the other VMs should know of the use of `upstream` by this VM.
+UpstreamUse MakeUse(const Upstream& upstream, Millis now);
+
+// Stores the load that a response of `upstream` reports.
+void RecordLoad(Upstream& upstream,
+                const platform::UpstreamReportedLoad& load,
+                Millis now);
+
 // Adds the arrival of `events` events of one stream to the pace of `upstream`.
 void RecordEvents(Upstream& upstream, PaceMeter& meter, int events);
 // Adds the time of one request that isn't streamed. Ignored if the upstream
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -165,8 +165,13 @@
       }
       const bool is_interim = Head().m_status < kFirstSuccess;
       if (!is_interim && !IsStrayResponse(request.m_request_id)) {
-        co_return CheckHead(request.m_request_id,
-                            m_connection->m_is_reused || stray_responses > 0);
+        const CallState state =
+            CheckHead(request.m_request_id,
+                      m_connection->m_is_reused || stray_responses > 0);
+        if (state != CallState::kBroken && m_fields.m_load) {
+          RecordLoad(*m_upstream, *m_fields.m_load, MonotonicNow());
+        }
+        co_return state;
       }
       // The rest of an interim or stray response is read and discarded.
       discarded_bytes += m_connection->Parser().Body().size();
--- a/packages/dispatch/upstream_table.cc
+++ b/packages/dispatch/upstream_table.cc
@@ -28,9 +28,12 @@
   return found == m_subsets.end() ? OfService(service) : found->second;
 }
 
-const absl::flat_hash_set<UpstreamPtr>& UpstreamTable::InUse() {
-  absl::erase_if(m_in_use, [](const UpstreamPtr& upstream) {
-    return upstream->m_online <= 0 && upstream->m_batch <= 0;
+const absl::flat_hash_set<UpstreamPtr>& UpstreamTable::InUse(Millis now) {
+  absl::erase_if(m_in_use, [now](const UpstreamPtr& upstream) {
+    const std::optional<MachineReport> machine =
+        FreshMachineReport(upstream->m_report, now);
+    return upstream->m_online <= 0 && upstream->m_batch <= 0 &&
+           (!machine || machine->m_percent == kUsualMachinePercent);
   });
   return m_in_use;
 }
@@ -81,6 +84,7 @@
     Deregister(*upstream);
   }
   upstream = std::make_shared<Upstream>(*std::move(entry));
+  upstream->m_memory_tokens = MemoryOfService(upstream->m_entry.m_service);
   const auto left = m_left.find(id);
   upstream->m_leaving = left != m_left.end() &&
                         left->second.m_started == upstream->m_entry.m_started;
@@ -198,6 +202,7 @@
     std::vector<UpstreamPtr>& subset = m_subsets[entry->first];
     for (size_t i = 0; i < in_subset.size(); ++i) {
       entry->second[i]->m_in_subset = in_subset[i];
+      entry->second[i]->m_has_unknown_vms = !group.m_is_whole_fleet;
       if (in_subset[i]) {
         subset.push_back(entry->second[i]);
       }
@@ -210,6 +215,7 @@
     upstream->m_peer_online = 0;
     upstream->m_peer_batch = 0;
     upstream->m_peer_urgent = 0;
+    upstream->m_peer_tokens = 0;
   }
   m_with_peer_load.clear();
   cluster.ForEachGroupPeer([&](std::string_view, const PeerVm& peer) {
@@ -228,17 +234,43 @@
       upstream.m_peer_online += use.m_online;
       upstream.m_peer_batch += use.m_batch;
       upstream.m_peer_urgent += use.m_urgent;
+      upstream.m_peer_tokens += use.m_tokens;
     }
   });
   m_changed.NotifyAll();
 }
 
+int64_t UpstreamTable::MemoryOfService(std::string_view service) const {
+  const auto found = m_memory_by_service.find(service);
+  return found == m_memory_by_service.end() ? 0 : found->second;
+}
+
+void UpstreamTable::SetEngineMemory(const FleetConfig& config) {
+  m_memory_by_service.clear();
+  for (const Service& service : config.m_services) {
+    if (service.m_memory_tokens > 0) {
+      m_memory_by_service[service.m_name] = service.m_memory_tokens;
+    }
+  }
+  for (auto entry = m_by_id.begin(); entry != m_by_id.end(); ++entry) {
+    entry->second->m_memory_tokens =
+        MemoryOfService(entry->second->m_entry.m_service);
+  }
+}
+
 void UpstreamTable::UpdatePeerPace(const GossipMessage& gossip, Millis now) {
   for (const UpstreamUse& use : gossip.m_uses) {
     const auto found = m_by_hash.find(use.m_upstream);
-    if (use.m_work_ms > 0 && found != m_by_hash.end()) {
+    if (found == m_by_hash.end()) {
+      continue;
+    }
+    if (use.m_work_ms > 0) {
       RecordPeerWorkTime(found->second->m_pace, use.m_work_ms, now);
     }
+    if (use.m_machine_percent > 0) {
+      RecordPeerMachine(found->second->m_report,
+                        {use.m_machine_percent, now - use.m_machine_age});
+    }
   }
 }
 
--- a/packages/dispatch/upstream_table.h
+++ b/packages/dispatch/upstream_table.h
@@ -15,6 +15,7 @@
 #include "aio/waiter.h"
 #include "cluster/cluster_view.h"
 #include "dispatch/upstream.h"
+#include "fleet/fleet_config.h"
 #include "kv/kv_session.h"
 
 namespace bronzecross {
@@ -33,17 +34,22 @@
   // Sums the requests that the VMs of this VM's group have in flight at each
   // upstream.
   void UpdatePeerLoad(const ClusterView& cluster, Millis now);
-  // Stores the work times that another VM reported.
+  // Stores the memory of the engines of each service. Must be called with each
+  // new configuration.
+  void SetEngineMemory(const FleetConfig& config);
+  // Stores the work times and machine reports of another VM.
   void UpdatePeerPace(const GossipMessage& gossip, Millis now);
 
   bool IsLoaded() const { return m_loaded; }
   const std::vector<UpstreamPtr>& OfService(std::string_view service) const;
   // Returns the upstreams of a service that this VM prefers.
   const std::vector<UpstreamPtr>& SubsetOf(std::string_view service) const;
-  // Keeps `upstream` in InUse() until it has no requests of this VM in flight.
+  // Keeps `upstream` in InUse() until it has no requests of this VM in flight
+  // and no fresh report of a machine at an unusual pace.
   void MarkInUse(const UpstreamPtr& upstream) { m_in_use.insert(upstream); }
-  // Returns the upstreams at which this VM has requests in flight.
-  const absl::flat_hash_set<UpstreamPtr>& InUse();
+  // Returns the upstreams of which the other VMs should hear: those at which
+  // this VM has requests in flight, or has just received such a report.
+  const absl::flat_hash_set<UpstreamPtr>& InUse(Millis now);
 
   // Notified when upstreams may have more capacity than before.
   Condition& Changed() { return m_changed; }
@@ -56,6 +62,7 @@
   void Remove(std::string_view id, bool may_reregister);
   void Drop(const std::string& id);
   void Index();
+  int64_t MemoryOfService(std::string_view service) const;
 
   const KvSession& m_kv;
   bool m_loaded = false;
@@ -64,6 +71,8 @@
   std::map<std::string, std::vector<UpstreamPtr>, std::less<>> m_subsets;
   absl::flat_hash_map<uint32_t, UpstreamPtr> m_by_hash;
   absl::flat_hash_set<UpstreamPtr> m_in_use;
+  // Memory of the engines by service, where it is known.
+  std::map<std::string, int64_t, std::less<>> m_memory_by_service;
   // Upstreams with requests of other VMs.
   std::vector<UpstreamPtr> m_with_peer_load;
   // The group for which m_subsets was computed, and whether the table has
--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -72,10 +72,8 @@
   message.m_reaches_store = m_node.m_kv.ReachesDirectly();
   message.m_operator_change = m_node.m_operator_follower->LastChange();
   message.m_upstream_change = m_node.m_upstream_follower->LastChange();
-  for (const UpstreamPtr& upstream : m_node.m_upstreams.InUse()) {
-    message.m_uses.push_back({upstream->m_hash, upstream->m_online,
-                              upstream->m_batch, upstream->m_urgent,
-                              ReportedWorkMs(upstream->m_pace, now)});
+  for (const UpstreamPtr& upstream : m_node.m_upstreams.InUse(now)) {
+    message.m_uses.push_back(MakeUse(*upstream, now));
   }
   for (auto entry = m_node.m_queues.begin(); entry != m_node.m_queues.end();
        ++entry) {
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -55,7 +55,8 @@
   if (total > upstream.m_entry.m_slots) {
     m_jobs->Scheduler().PreemptItemAt(upstream);
   }
-  if (ShouldAnnounceLoad(total, upstream.m_entry.m_slots)) {
+  if (ShouldAnnounceLoad(total, upstream.m_entry.m_slots) ||
+      ShouldAnnounceTokens(MemoryOf(upstream, MonotonicNow()))) {
     m_gossip->SendSoon();
   }
 }
@@ -70,6 +71,7 @@
        {"routes", config->m_routes.size()},
        {"workspaces", config->m_workspaces.size()}});
   m_config = std::move(config);
+  m_upstreams.SetEngineMemory(*m_config);
   m_configured.NotifyAll();
 }
 
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -117,20 +117,6 @@
   }
 }
 
-// Releases a slot at the end of its lifetime.
-class HeldSlot {
- public:
-  HeldSlot(SlotQueue& queue, Upstream& upstream)
-      : m_queue(queue), m_upstream(upstream) {}
-  ~HeldSlot() { m_queue.Release(m_upstream); }
-  HeldSlot(const HeldSlot&) = delete;
-  HeldSlot& operator=(const HeldSlot&) = delete;
-
- private:
-  SlotQueue& m_queue;
-  Upstream& m_upstream;
-};
-
 }  // namespace
 
 OnlineRequest::OnlineRequest(Node& node,
@@ -172,6 +158,7 @@
       now + MaxQueueWait(queue.GetState(), time_left,
                          m_request.m_route->m_latency_target);
   slot.m_excluded = m_excluded;
+  slot.m_tokens = Tokens();
   return slot;
 }
 
@@ -199,7 +186,7 @@
         co_await queue.Acquire(std::move(slot), m_cancellation);
     if (m_cancellation.IsCancelled()) {
       if (upstream != nullptr) {
-        queue.Release(*upstream);
+        queue.Release(*upstream, Tokens());
       }
       LogEnd("caller_left", 0);
       co_return ServeResult::kAbandoned;
@@ -208,13 +195,13 @@
       co_return RejectWithoutSlot(queue);
     }
     if (HasCrashingPart()) {
-      queue.Release(*upstream);
+      queue.Release(*upstream, Tokens());
       co_return RejectCrashingPart();
     }
     const Millis started = MonotonicNow();
     AttemptResult end = AttemptResult::kFailed;
     {
-      const HeldSlot slot(queue, *upstream);
+      const HeldSlot slot(queue, *upstream, Tokens());
       end = co_await RunAttempt(upstream);
     }
     if (end == AttemptResult::kDelivered) {
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -55,6 +55,7 @@
   // Returns whether the route, the number of runs so far and the time left
   // allow another attempt.
   bool MayRunAgain() const;
+  int64_t Tokens() const { return platform::NeededTokens(m_request.m_fields); }
   SlotRequest MakeSlotRequest(const SlotQueue& queue) const;
   // Queues an error response and returns kResponded. If a streamed response has
   // begun, returns kAbandoned, and the response is cut off.
--- a/packages/jobs/batch_capacity.cc
+++ b/packages/jobs/batch_capacity.cc
@@ -17,7 +17,9 @@
   }
   const int free = CountFreeBatchSlots(
       UpstreamCapacity{load.m_slots, load.m_online, load.m_batch});
-  return load.m_probe ? std::min(free, 1) : free;
+  const int left =
+      std::max(free - static_cast<int>(std::ceil(load.m_reported_extra)), 0);
+  return load.m_probe ? std::min(left, 1) : left;
 }
 
 int ShareOfFreeSlots(int free, int own, int total, Random& random) {
--- a/packages/jobs/batch_capacity.h
+++ b/packages/jobs/batch_capacity.h
@@ -32,7 +32,8 @@
 
 // Returns the number of slots of one upstream for further batch items. Batch
 // items go to a slow upstream only one at a time, to find out whether it has
-// recovered.
+// recovered, and to no slot that a fresh report shows as taken by VMs of which
+// this VM doesn't hear.
 int CountFreeBatchSlots(const CandidateLoad& load);
 
 // Returns how many of `free` slots this VM takes. The VMs share them in
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -167,7 +167,8 @@
       }
       for (size_t i = 0; i < job->m_progress.size(); ++i) {
         if (job->m_progress[i].m_phase != BatchItemPhase::kWaiting ||
-            job->m_progress[i].m_not_before > now) {
+            job->m_progress[i].m_not_before > now ||
+            !MayStartItem(upstream, job->m_spec.m_items[i].m_tokens, now)) {
           continue;
         }
         const Millis slack = Slack(EstimateItem(*job, i, wall));
@@ -188,7 +189,7 @@
     run->m_item = best_item;
     run->m_upstream = upstream.shared_from_this();
     run->m_started = now;
-    ++upstream.m_batch;
+    AddItem(upstream, best->m_spec.m_items[best_item].m_tokens);
     m_dependencies.m_upstreams.MarkInUse(run->m_upstream);
     Spawn(RunItemTask(run));
   }
@@ -205,7 +206,7 @@
     limits.m_max_failures = route->m_max_attempts;
   }
   co_await RunItem(*run, limits);
-  --run->m_upstream->m_batch;
+  RemoveItem(*run->m_upstream, job->m_spec.m_items[run->m_item].m_tokens);
   m_runs.erase(run);
   m_dependencies.m_upstreams.Changed().NotifyAll();
   m_work_changed.NotifyAll();
@@ -218,11 +219,10 @@
       m_dependencies.m_upstreams.SubsetOf(service);
   // The load that other VM groups put on the remaining upstreams is unknown, so
   // those are used only if none of the subset is usable.
-  const bool has_usable = std::any_of(
-      subset.begin(), subset.end(), [now](const UpstreamPtr& upstream) {
-        return upstream->TakesRequests() &&
-               IsHealthy(upstream->m_health, kFirstByteTimeout, now);
-      });
+  const bool has_usable = std::any_of(subset.begin(), subset.end(),
+                                      [now](const UpstreamPtr& upstream) {
+                                        return IsAvailable(*upstream, now);
+                                      });
   return has_usable ? subset : m_dependencies.m_upstreams.OfService(service);
 }
 
--- a/packages/jobs/jobs_test.cc
+++ b/packages/jobs/jobs_test.cc
@@ -36,6 +36,18 @@
   CHECK(CountFreeBatchSlots(load) == 0);
 }
 
+// Guards against items that wait at an upstream behind requests of VMs of which
+// this VM doesn't hear.
+TEST_CASE("batch items avoid slots that a report shows as taken") {
+  CandidateLoad load;
+  load.m_slots = 8;
+  load.m_online = 2;
+  load.m_reported_extra = 3.2;
+  CHECK(CountFreeBatchSlots(load) == 1);
+  load.m_reported_extra = 9;
+  CHECK(CountFreeBatchSlots(load) == 0);
+}
+
 TEST_CASE("VMs share free slots in proportion to their waiting items") {
   Random random(1);
   CHECK(ShareOfFreeSlots(6, 10, 10, random) == 6);
