--- a/packages/dispatch/crashing_parts.cc
+++ b/packages/dispatch/crashing_parts.cc
@@ -1,6 +1,7 @@
 #include "dispatch/crashing_parts.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace bronzecross {
@@ -11,6 +12,10 @@
 constexpr int kMinMoments = 4;
 constexpr Millis kMomentLength{250};
 
+// Upstreams that crash in a burst too short for kMinMoments. The part may be
+// back at a high rate, so one more crash then blames it at once.
+constexpr size_t kBurstUpstreams = 5;
+
 // An upstream takes longer than this to be back after a crash, so two reports
 // within this time tell of the same crash.
 constexpr Millis kSameCrash{1'000};
@@ -23,15 +28,11 @@
 // How long after a crash its sound parts are reported.
 constexpr Millis kExonerationTime{10'000};
 
-// Bounds of the memory used.
-constexpr size_t kMaxCrashes = 128;
+// Bounds of the memory used. The crashes of a part at a high rate, and of the
+// requests beside it, must span kMinMoments beyond kCrashSettleTime.
+constexpr size_t kMaxCrashes = 1'024;
 constexpr size_t kMaxCompletions = 8'192;
 
-bool HasPart(const PartCrash& crash, uint32_t part) {
-  return std::find(crash.m_parts.begin(), crash.m_parts.end(), part) !=
-         crash.m_parts.end();
-}
-
 Millis LastCompletion(const CrashingParts& parts, uint32_t part) {
   const auto found = parts.m_completions.find(part);
   return found == parts.m_completions.end() ? Millis() : found->second;
@@ -39,55 +40,75 @@
 
 struct Suspect {
   uint32_t m_part = 0;
-  bool m_has_completed = false;
-  int m_moments = 0;
-  Millis m_since;         // first of the moments
+  Millis m_completed;  // last completion; zero: none
+  // Crashes with the part after its last completion.
+  std::vector<const PartCrash*> m_crashes;
   size_t m_position = 0;  // in the prompt
+  int m_moments = 0;      // of settled crashes
+  // Crashed another upstream after a burst of crashes was settled.
+  bool m_is_back = false;
+
+  // Time of the first crash.
+  Millis Since() const { return m_crashes.front()->m_at; }
 };
 
-// Counts the moments of the crashes with the part after its last completion.
-void CountMoments(const CrashingParts& parts,
-                  std::span<const PartCrash* const> crashes,
-                  Suspect& suspect) {
-  const Millis completed = LastCompletion(parts, suspect.m_part);
-  std::vector<Millis> times;
-  for (const PartCrash* crash : crashes) {
-    if (crash->m_at > completed && HasPart(*crash, suspect.m_part)) {
-      times.push_back(crash->m_at);
-    }
-  }
-  std::sort(times.begin(), times.end());
-  suspect.m_has_completed = completed != Millis();
-  suspect.m_since = times.empty() ? Millis() : times.front();
+bool IsSettled(const PartCrash& crash, Millis now) {
+  return now - crash.m_at >= kCrashSettleTime;
+}
+
+// Computes what the crashes of `suspect` say of it.
+void Evaluate(Suspect& suspect, Millis now) {
+  std::sort(
+      suspect.m_crashes.begin(), suspect.m_crashes.end(),
+      [](const PartCrash* a, const PartCrash* b) { return a->m_at < b->m_at; });
   Millis last;
-  for (const Millis time : times) {
-    if (suspect.m_moments == 0 || time - last >= kMomentLength) {
+  std::set<uint32_t> upstreams;
+  Millis burst;  // when the last upstream of the burst crashed
+  for (const PartCrash* crash : suspect.m_crashes) {
+    if (IsSettled(*crash, now) &&
+        (suspect.m_moments == 0 || crash->m_at - last >= kMomentLength)) {
       ++suspect.m_moments;
-      last = time;
+      last = crash->m_at;
+    }
+    if (upstreams.size() < kBurstUpstreams) {
+      upstreams.insert(crash->m_upstream);
+      burst = crash->m_at;
+    } else if (crash->m_at - burst >= kCrashSettleTime) {
+      suspect.m_is_back = true;
     }
   }
 }
 
 std::optional<Suspect> FindWorstSuspect(
     const CrashingParts& parts,
-    std::span<const PartCrash* const> crashes) {
+    std::span<const PartCrash* const> crashes,
+    Millis now) {
   std::map<uint32_t, Suspect> suspects;
   for (const PartCrash* crash : crashes) {
     for (size_t i = 0; i < crash->m_parts.size(); ++i) {
-      Suspect& suspect = suspects[crash->m_parts[i]];
-      suspect.m_part = crash->m_parts[i];
+      const auto [entry, is_new] = suspects.try_emplace(crash->m_parts[i]);
+      Suspect& suspect = entry->second;
+      if (is_new) {
+        suspect.m_part = crash->m_parts[i];
+        suspect.m_completed = LastCompletion(parts, suspect.m_part);
+      }
       suspect.m_position = std::max(suspect.m_position, i);
+      const bool is_counted =
+          !suspect.m_crashes.empty() && suspect.m_crashes.back() == crash;
+      if (crash->m_at > suspect.m_completed && !is_counted) {
+        suspect.m_crashes.push_back(crash);
+      }
     }
   }
   std::optional<Suspect> worst;
   const auto rank = [](const Suspect& suspect) {
-    return std::tuple(!suspect.m_has_completed, suspect.m_moments,
+    return std::tuple(suspect.m_completed == Millis(), suspect.m_moments,
                       suspect.m_position);
   };
   for (auto entry = suspects.begin(); entry != suspects.end(); ++entry) {
     Suspect& suspect = entry->second;
-    CountMoments(parts, crashes, suspect);
-    if (suspect.m_moments >= kMinMoments &&
+    Evaluate(suspect, now);
+    if ((suspect.m_moments >= kMinMoments || suspect.m_is_back) &&
         (!worst || rank(suspect) > rank(*worst))) {
       worst = suspect;
     }
@@ -147,16 +168,16 @@
     std::vector<const PartCrash*> unexplained;
     for (const PartCrash& crash : parts.m_crashes) {
       if (now - crash.m_at < kCrashRetention &&
-          now - crash.m_at >= kCrashSettleTime &&
           !FindBlamed(parts, crash.m_parts)) {
         unexplained.push_back(&crash);
       }
     }
-    const std::optional<Suspect> suspect = FindWorstSuspect(parts, unexplained);
+    const std::optional<Suspect> suspect =
+        FindWorstSuspect(parts, unexplained, now);
     if (!suspect) {
       return found;
     }
-    parts.m_blamed[suspect->m_part] = suspect->m_since;
+    parts.m_blamed[suspect->m_part] = suspect->Since();
     found.push_back(suspect->m_part);
   }
 }
--- a/packages/dispatch/crashing_parts.h
+++ b/packages/dispatch/crashing_parts.h
@@ -56,7 +56,9 @@
 inline constexpr Millis kCrashSettleTime{1'400};
 
 // Blames the parts that the crashes up to kCrashSettleTime before `now` point
-// to, and returns those that weren't blamed before. Of several suspects of the
+// to, and returns those that weren't blamed before. A part that crashed several
+// upstreams in a short burst, and didn't complete within kCrashSettleTime after
+// it, is blamed at once when it crashes another. Of several suspects of the
 // same crashes only one is blamed: first one that has never completed, then the
 // one in more crashes, then the one further back in the prompt, which fewer
 // requests share.
