Don't take a crash for the end of an unframed response

A response with neither a length nor chunks ends with its connection. If the upstream crashed, the response counted as complete and cleared the prompt part that caused the crash, so that it was never blamed. Such a response counts as complete only if the upstream still accepts connections. The check moves to a file of its own. Run: gateway_unframed_crash_test (failed before, passes).

--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -6,7 +6,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/text.h"
-#include "gateway/gossip_exchange.h"
+#include "gateway/crash_check.h"
 #include "http1/write_message.h"
 
 namespace bronzecross {
@@ -93,30 +93,10 @@
   size_t m_counted = 0;
 };
 
-// An upstream whose port still accepts connections within this time runs, so
-// that a broken response isn't its crash.
-constexpr Millis kCrashCheckTimeout{350};
-
 // A request that received more events before its response broke isn't the cause
 // of the crash.
 constexpr int kMaxEventsBeforeCrash = 1;
 
-static_assert(platform::kMaxSharedParts <= kMaxReportedParts);
-
-// Finds out whether an upstream that broke off a response has crashed, and
-// records that.
-Task<> RecordIfCrashed(Node& node,
-                       UpstreamPtr upstream,
-                       std::vector<uint32_t> parts) {
-  const Millis now = MonotonicNow();
-  const std::unique_ptr<TcpStream> stream = co_await TcpStream::Connect(
-      upstream->m_entry.m_address, now + kCrashCheckTimeout);
-  if (stream == nullptr) {
-    node.m_crashing_parts.OnCrash(upstream->m_hash, parts, now);
-    node.m_gossip->SendToAllSoon();
-  }
-}
-
 }  // namespace
 
 OnlineRequest::OnlineRequest(Node& node,
@@ -346,10 +326,10 @@
   if (!text) {
     co_return AttemptResult::kFailed;
   }
+  const bool is_unframed = call.EndsWithConnection();
   call.Finish();
   if (status == kOkStatus) {
-    m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
-                                         MonotonicNow());
+    RecordCompletion(is_unframed, upstream);
   }
   m_caller.Queue(*text);
   m_caller.Queue(body);
@@ -365,7 +345,19 @@
   m_node.m_poison_requests.RecordBrokenResponse(m_fingerprint, MonotonicNow());
   if (!m_request.m_fields.m_shared_parts.empty() &&
       m_attempt_events <= kMaxEventsBeforeCrash) {
-    Spawn(RecordIfCrashed(m_node, upstream, m_request.m_fields.m_shared_parts));
+    Spawn(CheckForCrash(m_node, upstream, m_request.m_fields.m_shared_parts,
+                        ResponseEnd::kBroken));
+  }
+}
+
+void OnlineRequest::RecordCompletion(bool is_unframed,
+                                     const UpstreamPtr& upstream) {
+  const std::vector<uint32_t>& parts = m_request.m_fields.m_shared_parts;
+  if (is_unframed && !parts.empty() &&
+      m_attempt_events <= kMaxEventsBeforeCrash) {
+    Spawn(CheckForCrash(m_node, upstream, parts, ResponseEnd::kUnframed));
+  } else {
+    m_node.m_crashing_parts.OnCompletion(parts, MonotonicNow());
   }
 }
 
@@ -479,9 +471,9 @@
       co_return AttemptResult::kCallerLeft;
     }
   }
+  const bool is_unframed = call.EndsWithConnection();
   call.Finish();
-  m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
-                                       MonotonicNow());
+  RecordCompletion(is_unframed, upstream);
   LogEnd("answered", kOkStatus);
   co_return AttemptResult::kDelivered;
 }
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -49,6 +49,9 @@
   // Records the request as a possible poison request if the upstream broke off
   // its response.
   void RecordIfBroken(CallState state, const UpstreamPtr& upstream);
+  // Records a response that has ended without a sign of a fault. `is_unframed`:
+  // only the end of its connection marked its end.
+  void RecordCompletion(bool is_unframed, const UpstreamPtr& upstream);
   // Whether a part of the prompt is known to crash upstreams.
   bool HasCrashingPart() const;
   ServeResult RejectCrashingPart();
--- a/standins/raw_replica_standin.cc
+++ b/standins/raw_replica_standin.cc
@@ -71,6 +71,10 @@
 
 void RawReplicaStandin::Accept() {
   while (!m_stopped) {
+    if (!m_listens) {
+      SleepFor(Millis(kPollMs));
+      continue;
+    }
     if (!WaitFor(m_listener, POLLIN)) {
       continue;
     }
@@ -109,6 +113,10 @@
       if (!id.empty()) {
         has_request = true;
         ++m_requests;
+        if (m_script.m_stops_listening) {
+          m_listens = false;
+          shutdown(m_listener, SHUT_RDWR);
+        }
         m_later_requests += first_id.empty() ? 0 : 1;
         to_send = Replace(
             first_id.empty() ? m_script.m_begin : m_script.m_later, "{id}", id);
--- a/standins/raw_replica_standin.h
+++ b/standins/raw_replica_standin.h
@@ -27,6 +27,9 @@
   // Whether the connection ends after the repetitions so far if m_repeated is
   // empty.
   bool m_closes = false;
+  // Whether connections are refused once a request has arrived, as after a
+  // crash.
+  bool m_stops_listening = false;
 };
 
 class RawReplicaStandin {
@@ -51,6 +54,7 @@
   int m_listener = -1;
   NetAddress m_address;
   std::atomic<bool> m_stopped = false;
+  std::atomic<bool> m_listens = true;
   std::atomic<int> m_requests = 0;
   std::atomic<int> m_later_requests = 0;
   std::atomic<int> m_open = 0;
