--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -72,6 +72,11 @@
   Publish(version);
 }
 
+void PlatformOperatorStandin::PublishMemory(int version, int64_t tokens) {
+  m_config["services"][0]["engine"]["kvCapacity"] = tokens;
+  Publish(version);
+}
+
 void PlatformOperatorStandin::PublishGrown(int version,
                                            int routes,
                                            int workspaces) {
--- a/standins/platform_operator_standin.h
+++ b/standins/platform_operator_standin.h
@@ -24,6 +24,8 @@
   // Each writes a whole configuration of the given version.
   void PublishKey(int version, const std::string& key);
   void PublishWaitingCap(int version, int64_t tokens);
+  // Sets the memory of the engines, in tokens.
+  void PublishMemory(int version, int64_t tokens);
   // Writes a document that is no configuration.
   void PublishUnreadable();
   // Adds idempotent routes "/grown/I/" for I below `routes`, and workspaces
