--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -6,7 +6,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/text.h"
-#include "gateway/gossip_exchange.h"
+#include "gateway/crash_check.h"
 #include "http1/write_message.h"
 
 namespace bronzecross {
@@ -73,44 +73,10 @@
   size_t m_counted = 0;
 };
 
-// An upstream whose port still accepts connections within this time runs, so
-// that a broken response isn't its crash.
-constexpr Millis kCrashCheckTimeout{350};
-
 // A request that received more events before its response broke isn't the cause
 // of the crash.
 constexpr int kMaxEventsBeforeCrash = 1;
 
-static_assert(platform::kMaxSharedParts <= kMaxReportedParts);
-
-// Finds out whether an upstream that broke off a response has crashed, and
-// records that.
-Task<> RecordIfCrashed(Node& node,
-                       UpstreamPtr upstream,
-                       std::vector<uint32_t> parts) {
-  const Millis now = MonotonicNow();
-  const std::unique_ptr<TcpStream> stream = co_await TcpStream::Connect(
-      upstream->m_entry.m_address, now + kCrashCheckTimeout);
-  if (stream == nullptr) {
-    node.m_crashing_parts.OnCrash(upstream->m_hash, parts, now);
-    node.m_gossip->SendToAllSoon();
-  }
-}
-
-// Releases a slot at the end of its lifetime.
-class HeldSlot {
- public:
-  HeldSlot(SlotQueue& queue, Upstream& upstream)
-      : m_queue(queue), m_upstream(upstream) {}
-  ~HeldSlot() { m_queue.Release(m_upstream); }
-  HeldSlot(const HeldSlot&) = delete;
-  HeldSlot& operator=(const HeldSlot&) = delete;
-
- private:
-  SlotQueue& m_queue;
-  Upstream& m_upstream;
-};
-
 }  // namespace
 
 OnlineRequest::OnlineRequest(Node& node,
@@ -153,6 +119,7 @@
                          m_request.m_route->m_latency_target);
   slot.m_excluded = m_excluded;
   slot.m_regions = AllowedRegionsOf(*m_request.m_route, workspace);
+  slot.m_tokens = Tokens();
   return slot;
 }
 
@@ -180,7 +147,7 @@
         co_await queue.Acquire(std::move(slot), m_cancellation);
     if (m_cancellation.IsCancelled()) {
       if (upstream != nullptr) {
-        queue.Release(*upstream);
+        queue.Release(*upstream, Tokens());
       }
       LogEnd("caller_left", 0);
       co_return ServeResult::kAbandoned;
@@ -189,13 +156,13 @@
       co_return RejectWithoutSlot(queue);
     }
     if (HasCrashingPart()) {
-      queue.Release(*upstream);
+      queue.Release(*upstream, Tokens());
       co_return RejectCrashingPart();
     }
     const Millis started = MonotonicNow();
     AttemptResult end = AttemptResult::kFailed;
     {
-      const HeldSlot slot(queue, *upstream);
+      const HeldSlot slot(queue, *upstream, Tokens());
       end = co_await RunAttempt(upstream);
     }
     if (end == AttemptResult::kDelivered) {
@@ -340,10 +307,10 @@
   if (!text) {
     co_return AttemptResult::kFailed;
   }
+  const bool is_unframed = call.EndsWithConnection();
   call.Finish();
   if (status == kOkStatus) {
-    m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
-                                         MonotonicNow());
+    RecordCompletion(is_unframed, upstream);
   }
   m_caller.Queue(*text);
   m_caller.Queue(body);
@@ -359,7 +326,19 @@
   m_node.m_poison_requests.RecordBrokenResponse(m_fingerprint, MonotonicNow());
   if (!m_request.m_fields.m_shared_parts.empty() &&
       m_attempt_events <= kMaxEventsBeforeCrash) {
-    Spawn(RecordIfCrashed(m_node, upstream, m_request.m_fields.m_shared_parts));
+    Spawn(CheckForCrash(m_node, upstream, m_request.m_fields.m_shared_parts,
+                        ResponseEnd::kBroken));
+  }
+}
+
+void OnlineRequest::RecordCompletion(bool is_unframed,
+                                     const UpstreamPtr& upstream) {
+  const std::vector<uint32_t>& parts = m_request.m_fields.m_shared_parts;
+  if (is_unframed && !parts.empty() &&
+      m_attempt_events <= kMaxEventsBeforeCrash) {
+    Spawn(CheckForCrash(m_node, upstream, parts, ResponseEnd::kUnframed));
+  } else {
+    m_node.m_crashing_parts.OnCompletion(parts, MonotonicNow());
   }
 }
 
@@ -473,9 +452,9 @@
       co_return AttemptResult::kCallerLeft;
     }
   }
+  const bool is_unframed = call.EndsWithConnection();
   call.Finish();
-  m_node.m_crashing_parts.OnCompletion(m_request.m_fields.m_shared_parts,
-                                       MonotonicNow());
+  RecordCompletion(is_unframed, upstream);
   LogEnd("answered", kOkStatus);
   co_return AttemptResult::kDelivered;
 }
--- a/packages/jobs/item_starts.cc
+++ b/packages/jobs/item_starts.cc
@@ -134,7 +134,8 @@
       }
       for (size_t i = 0; i < job->m_progress.size(); ++i) {
         if (job->m_progress[i].m_phase != BatchItemPhase::kWaiting ||
-            job->m_progress[i].m_not_before > now) {
+            job->m_progress[i].m_not_before > now ||
+            !MayStartItem(upstream, job->m_spec.m_items[i].m_tokens, now)) {
           continue;
         }
         const Millis slack = Slack(EstimateItem(*job, i, wall));
@@ -156,7 +157,7 @@
     run->m_upstream = upstream.shared_from_this();
     run->m_started = now;
     RecordColdSend(upstream, now);
-    ++upstream.m_batch;
+    AddItem(upstream, best->m_spec.m_items[best_item].m_tokens);
     m_dependencies.m_upstreams.MarkInUse(run->m_upstream);
     Spawn(RunItemTask(run));
   }
@@ -172,9 +173,8 @@
   // those are used only if none of the subset is usable.
   const bool has_usable = std::any_of(
       subset.begin(), subset.end(), [&](const UpstreamPtr& upstream) {
-        return upstream->TakesRequests() &&
-               IsAllowedRegion(upstream->m_region, regions) &&
-               IsHealthy(upstream->m_health, kFirstByteTimeout, now);
+        return IsAvailable(*upstream, now) &&
+               IsAllowedRegion(upstream->m_region, regions);
       });
   return has_usable ? subset : m_dependencies.m_upstreams.OfService(service);
 }
