--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // Version of the message layout. Messages of another version are rejected.
-constexpr int kLayoutVersion = 6;
+constexpr int kLayoutVersion = 7;
 
 // Positions in the message, which is a MessagePack array. Lists of rows are
 // flat arrays that hold the rows one after another.
@@ -41,9 +41,17 @@
   kPosBlamedParts,
   kPosExoneratedParts,
   kPosBatchLoads,
+  kPosUseFigures,
   kPosCount,
 };
 
+// Unit of the ages in kPosUseFigures, which keeps each in one byte.
+constexpr int64_t kUseAgeUnitMs = 10;
+
+// Bounds of received figures.
+constexpr int64_t kMaxPercent = 10'000;
+constexpr int64_t kMaxUseTokens = 1'000'000'000;
+
 // Reads the rows of a flat list of numbers.
 class Rows {
  public:
@@ -132,6 +140,47 @@
   return crashes;
 }
 
+// Each row: the position in the list of uses, the percentage of the machine,
+// the age of that, and the tokens in flight.
+json EncodeUseFigures(std::span<const UpstreamUse> uses) {
+  json rows = json::array();
+  for (size_t i = 0; i < uses.size(); ++i) {
+    const UpstreamUse& use = uses[i];
+    if (use.m_machine_percent > 0 || use.m_tokens > 0) {
+      rows.insert(rows.end(), {json(i), json(use.m_machine_percent),
+                               json(use.m_machine_age.count() / kUseAgeUnitMs),
+                               json(use.m_tokens)});
+    }
+  }
+  return rows;
+}
+
+// Returns false if a row is invalid.
+bool DecodeUseFigures(const json& list, std::vector<UpstreamUse>& uses) {
+  const Rows rows(list, 4);
+  if (!rows.IsValid() ||
+      !std::all_of(list.begin(), list.end(), [](const json& value) {
+        return value.is_number_integer();
+      })) {
+    return false;
+  }
+  for (size_t i = 0; i < rows.Count(); ++i) {
+    const size_t at = rows.At<size_t>(i, 0);
+    if (at >= uses.size()) {
+      return false;
+    }
+    UpstreamUse& use = uses[at];
+    use.m_machine_percent = static_cast<int>(
+        std::clamp<int64_t>(rows.At<int64_t>(i, 1), 0, kMaxPercent));
+    use.m_machine_age =
+        DecodeAge(std::clamp<int64_t>(rows.At<int64_t>(i, 2), 0, kMaxPercent) *
+                  kUseAgeUnitMs);
+    use.m_tokens =
+        std::clamp<int64_t>(rows.At<int64_t>(i, 3), 0, kMaxUseTokens);
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string EncodeGossip(const GossipMessage& gossip) {
@@ -212,7 +261,8 @@
                                     std::move(crashes),
                                     EncodeParts(gossip.m_blamed_parts),
                                     EncodeParts(gossip.m_exonerated_parts),
-                                    std::move(batch_loads)});
+                                    std::move(batch_loads),
+                                    EncodeUseFigures(gossip.m_uses)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -266,7 +316,10 @@
   for (size_t i = 0; i < uses.Count(); ++i) {
     gossip.m_uses.push_back({uses.At<uint32_t>(i, 0), uses.At<int>(i, 1),
                              uses.At<int>(i, 2), uses.At<int>(i, 3),
-                             uses.At<double>(i, 4)});
+                             uses.At<double>(i, 4), 0, Millis(), 0});
+  }
+  if (!DecodeUseFigures(message[kPosUseFigures], gossip.m_uses)) {
+    return std::nullopt;
   }
   for (size_t i = 0; i < levels.Count(); ++i) {
     gossip.m_levels.push_back({levels.At<uint32_t>(i, 0),
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -34,10 +34,9 @@
                Millis now) {
   int slots = 0;
   for (const UpstreamPtr& upstream : upstreams) {
-    const bool is_usable =
-        upstream->TakesRequests() &&
-        IsHealthy(upstream->m_health, kFirstByteTimeout, now);
-    slots += is_usable ? UsableSlots(*upstream, service_ms, now) : 0;
+    slots += IsAvailable(*upstream, now)
+                 ? UsableSlots(*upstream, service_ms, now)
+                 : 0;
   }
   return slots;
 }
@@ -57,15 +56,20 @@
 
 UpstreamPtr SlotQueue::Pick(std::span<const UpstreamPtr> candidates,
                             const SlotRequest& request,
-                            bool& has_untried) const {
+                            Obstacles& obstacles) const {
   std::vector<CandidateLoad> loads =
       GetLoads(candidates, m_zone, MonotonicNow(), request.m_regions);
   bool is_held = false;
   for (size_t i = 0; i < loads.size(); ++i) {
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
                                                  candidates[i]->m_entry.m_id);
-    has_untried = has_untried || loads[i].m_usable;
     is_held = is_held || loads[i].m_cold_held;
+    obstacles.m_has_untried = obstacles.m_has_untried || loads[i].m_usable;
+    if (loads[i].m_usable && !FitsMemory(loads[i], request.m_tokens)) {
+      obstacles.m_lacks_memory =
+          obstacles.m_lacks_memory || HasOnlineSlot(loads[i]);
+      loads[i].m_usable = false;
+    }
   }
   const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
   if (!choice && is_held) {
@@ -95,28 +99,29 @@
   return sample;
 }
 
-UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request) {
+UpstreamPtr SlotQueue::TryPlace(const SlotRequest& request,
+                                Obstacles& obstacles) {
   const Millis now = MonotonicNow();
   if (m_upstreams.IsHeldAt(now)) {
     return nullptr;
   }
   const std::vector<UpstreamPtr>& subset = m_upstreams.SubsetOf(m_service);
-  bool has_untried = false;
-  UpstreamPtr upstream = Pick(subset, request, has_untried);
+  UpstreamPtr upstream = Pick(subset, request, obstacles);
   // The load that other VM groups put on the remaining upstreams is unknown,
   // but an estimate is better than waiting.
   std::vector<UpstreamPtr> others;
   if (upstream == nullptr) {
     others = SampleOtherUpstreams(request.m_regions);
-    upstream = Pick(others, request, has_untried);
+    upstream = Pick(others, request, obstacles);
   }
   // Upstreams that were already tried are used again only if there is no other.
-  if (upstream == nullptr && !has_untried && !request.m_excluded.empty()) {
+  if (upstream == nullptr && !obstacles.m_has_untried &&
+      !request.m_excluded.empty()) {
     SlotRequest any = request;
     any.m_excluded.clear();
-    upstream = Pick(subset, any, has_untried);
+    upstream = Pick(subset, any, obstacles);
     if (upstream == nullptr) {
-      upstream = Pick(others, any, has_untried);
+      upstream = Pick(others, any, obstacles);
     }
   }
   if (upstream == nullptr) {
@@ -124,6 +129,7 @@
   }
   RecordColdSend(*upstream, now);
   ++upstream->m_online;
+  upstream->m_tokens += request.m_tokens;
   m_upstreams.MarkInUse(upstream);
   m_on_placed(*upstream);
   return upstream;
@@ -149,10 +155,14 @@
 Task<UpstreamPtr> SlotQueue::Acquire(SlotRequest request,
                                      Cancellation& cancellation) {
   if (m_waiting.empty()) {
-    UpstreamPtr upstream = TryPlace(request);
+    Obstacles obstacles;
+    UpstreamPtr upstream = TryPlace(request, obstacles);
     if (upstream != nullptr) {
       co_return upstream;
     }
+    if (obstacles.m_lacks_memory) {
+      CountMetric("bronzecross_requests_without_memory_total");
+    }
   }
   if (IsBarred(request)) {
     co_return nullptr;
@@ -173,8 +183,9 @@
   co_return waiting.m_assigned;
 }
 
-void SlotQueue::Release(Upstream& upstream) {
+void SlotQueue::Release(Upstream& upstream, int64_t tokens) {
   --upstream.m_online;
+  upstream.m_tokens -= tokens;
   Dispatch();
 }
 
@@ -190,14 +201,17 @@
     if (waiting->m_assigned != nullptr) {
       continue;
     }
-    waiting->m_assigned = TryPlace(waiting->m_request);
+    Obstacles obstacles;
+    waiting->m_assigned = TryPlace(waiting->m_request, obstacles);
     if (waiting->m_assigned != nullptr) {
       waiting->m_done.NotifyAll();
     } else if (IsBarred(waiting->m_request)) {
       waiting->m_refused = true;
       waiting->m_done.NotifyAll();
     } else if (waiting->m_request.m_excluded.empty() &&
-               !waiting->m_request.m_regions.IsLimited()) {
+               !waiting->m_request.m_regions.IsLimited() &&
+               !obstacles.m_lacks_memory) {
+      // A request that only lacks memory doesn't hold up smaller ones.
       return;
     }
   }
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -49,12 +49,16 @@
   // Records the request as a possible poison request if the upstream broke off
   // its response.
   void RecordIfBroken(CallState state, const UpstreamPtr& upstream);
+  // Records a response that has ended without a sign of a fault. `is_unframed`:
+  // only the end of its connection marked its end.
+  void RecordCompletion(bool is_unframed, const UpstreamPtr& upstream);
   // Whether a part of the prompt is known to crash upstreams.
   bool HasCrashingPart() const;
   ServeResult RejectCrashingPart();
   // Returns whether the route, the number of runs so far and the time left
   // allow another attempt.
   bool MayRunAgain() const;
+  int64_t Tokens() const { return platform::NeededTokens(m_request.m_fields); }
   SlotRequest MakeSlotRequest(const SlotQueue& queue) const;
   // Queues an error response and returns kResponded. If a streamed response has
   // begun, returns kAbandoned, and the response is cut off.
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -111,7 +111,7 @@
     limits.m_max_failures = route->m_max_attempts;
   }
   co_await RunItem(*run, limits);
-  --run->m_upstream->m_batch;
+  RemoveItem(*run->m_upstream, job->m_spec.m_items[run->m_item].m_tokens);
   m_runs.erase(run);
   m_dependencies.m_upstreams.Changed().NotifyAll();
   m_work_changed.NotifyAll();
