--- a/packages/fleet/fleet_config.cc
+++ b/packages/fleet/fleet_config.cc
@@ -21,6 +21,9 @@
       config.m_by_key.emplace(key, &workspace);
     }
   }
+  for (const Service& service : config.m_services) {
+    config.m_service_by_name.emplace(service.m_name, &service);
+  }
 }
 
 const Route* FindRoute(const FleetConfig& config,
@@ -66,6 +69,12 @@
   return found == config.m_workspace_by_name.end() ? nullptr : found->second;
 }
 
+const Service* FindServiceByName(const FleetConfig& config,
+                                 std::string_view name) {
+  const auto found = config.m_service_by_name.find(name);
+  return found == config.m_service_by_name.end() ? nullptr : found->second;
+}
+
 std::string_view PickService(const Route& route, Random& random) {
   if (route.m_services.size() == 1) {
     return route.m_services.front().m_service;
--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -59,6 +59,8 @@
   std::string m_name;
   int m_max_connections = 0;  // per upstream, from all VMs together
   bool m_is_engine = false;   // a model engine with batched slots
+  // Memory of each engine for prompts and outputs, in tokens; 0: unknown.
+  int64_t m_memory_tokens = 0;
 };
 
 struct Workspace {
@@ -95,6 +97,7 @@
   absl::flat_hash_map<std::string_view, const Route*> m_route_by_name;
   absl::flat_hash_map<std::string_view, const Workspace*> m_by_key;
   absl::flat_hash_map<std::string_view, const Workspace*> m_workspace_by_name;
+  absl::flat_hash_map<std::string_view, const Service*> m_service_by_name;
 
   FleetConfig() = default;
   FleetConfig(const FleetConfig&) = delete;
@@ -122,6 +125,9 @@
 const Workspace* FindWorkspaceByName(const FleetConfig& config,
                                      std::string_view name);
 
+const Service* FindServiceByName(const FleetConfig& config,
+                                 std::string_view name);
+
 // Picks a service for one request at random by the weights of the route.
 // Returns an empty string if the route has no services.
 std::string_view PickService(const Route& route, Random& random);
