--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "base/metrics.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "gateway/buffered_bytes.h"
 #include "gateway/gossip_exchange.h"
 #include "http1/write_message.h"
 
@@ -16,19 +16,6 @@
 // rejected.
 constexpr int kMaxRejections = 6;
 
-// Maximum size of a response that isn't streamed. It is read completely before
-// it is relayed, so that a broken response can still be followed by another
-// attempt or an error response.
-constexpr size_t kMaxBufferedBytes = 4 << 20;
-
-// Maximum size of all responses together that this VM reads before it relays
-// them. Many large responses at once would take more memory than the smallest
-// VMs have.
-constexpr size_t kMaxTotalBufferedBytes = 32 << 20;
-
-// Responses up to this size don't count toward kMaxTotalBufferedBytes.
-constexpr size_t kUncountedBytes = 64 << 10;
-
 // Maximum size of one event of a stream. Bytes that never end an event would
 // otherwise be collected until the deadline.
 constexpr size_t kMaxEventBytes = 256 << 10;
@@ -51,48 +38,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kOkStatus = 200;
 
-std::string_view StateName(CallState state) {
-  switch (state) {
-    case CallState::kResponded:
-      return "answered";
-    case CallState::kNotRun:
-      return "not_run";
-    case CallState::kUnsendable:
-      return "unsendable";
-    case CallState::kBroken:
-      return "broken";
-    case CallState::kUnresponsive:
-      return "silent";
-    case CallState::kCancelled:
-      return "cancelled";
-    case CallState::kTimedOut:
-      return "timed_out";
-  }
-  return "";
-}
-
-// Counts the bytes of one buffered response in the total of the VM.
-class BufferedBytes {
- public:
-  explicit BufferedBytes(size_t& total) : m_total(total) {}
-  ~BufferedBytes() { m_total -= m_counted; }
-  BufferedBytes(const BufferedBytes&) = delete;
-  BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-  // Returns whether a response of `bytes` may be kept in memory.
-  bool Update(size_t bytes) {
-    const size_t counted = bytes > kUncountedBytes ? bytes : 0;
-    m_total += counted - m_counted;
-    m_counted = counted;
-    return bytes <= kMaxBufferedBytes &&
-           (counted == 0 || m_total <= kMaxTotalBufferedBytes);
-  }
-
- private:
-  size_t& m_total;
-  size_t m_counted = 0;
-};
-
 // An upstream whose port still accepts connections within this time runs, so
 // that a broken response isn't its crash.
 constexpr Millis kCrashCheckTimeout{350};
@@ -530,38 +475,4 @@
                 RetryAfter(ExpectedWait(state)));
 }
 
-void OnlineRequest::LogAttempt(const Upstream& upstream,
-                               CallState state,
-                               int status) const {
-  Log(Severity::kInfo, LogPart::kRouting, "Tried an upstream.",
-      {{"request", m_request.m_fields.m_request_id},
-       {"upstream", upstream.m_entry.m_id},
-       {"state", StateName(state)},
-       {"status", status},
-       {"online", upstream.m_online},
-       {"batch", upstream.m_batch},
-       {"peer_online", upstream.m_peer_online},
-       {"peer_batch", upstream.m_peer_batch},
-       {"ms", MonotonicNow() - m_request.m_arrived}});
-}
-
-void OnlineRequest::LogEnd(std::string_view outcome, int status) const {
-  const Millis took = MonotonicNow() - m_request.m_arrived;
-  const std::string& route = m_request.m_route->m_name;
-  Log(Severity::kInfo, LogPart::kOnline, "A request ended.",
-      {{"request", m_request.m_fields.m_request_id},
-       {"route", route},
-       {"workspace",
-        m_request.m_workspace == nullptr ? "-" : m_request.m_workspace->m_name},
-       {"config", m_request.m_config->m_version},
-       {"outcome", outcome},
-       {"status", status},
-       {"refusals", m_rejections},
-       {"runs", m_runs},
-       {"ms", took}});
-  CountMetric("bronzecross_requests_total", {{"outcome", outcome}});
-  ObserveSeconds("bronzecross_request_seconds", {{"outcome", outcome}},
-                 took.Seconds());
-}
-
 }  // namespace bronzecross
