Add the newest cached prefixes to the gossip of a group

The VMs of a group shall know which engine has read which start of a prompt. The list is left out if it is empty, so that messages of fleets without prompt affinity stay as they are; VMs of earlier versions reject messages that have it.

Run: cluster_test.

--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -84,6 +84,10 @@
   gossip.m_part_crashes = {{15, Millis(16), {17, 18}}, {19, Millis(), {}}};
   gossip.m_blamed_parts = {{20, Millis(21)}};
   gossip.m_exonerated_parts = {{22, Millis(23)}, {24, Millis(25)}};
+  // Without prefixes, VMs that don't know of them must be able to read the
+  // message: they expect an array (0xdc) of 20 values.
+  CHECK(EncodeGossip(gossip).substr(0, 3) == std::string("\xdc\0\x14", 3));
+  gossip.m_prefixes = {{26, 27, 28, 29}, {30, 31, 32, 0}};
   const std::string bytes = EncodeGossip(gossip);
   const std::optional<GossipMessage> decoded = DecodeGossip(bytes);
   REQUIRE(decoded);
@@ -106,6 +110,12 @@
   CHECK(decoded->m_blamed_parts[0].m_age == Millis(21));
   REQUIRE(decoded->m_exonerated_parts.size() == 2);
   CHECK(decoded->m_exonerated_parts[1].m_part == 24);
+  REQUIRE(decoded->m_prefixes.size() == 2);
+  CHECK(decoded->m_prefixes[0].m_prefix == 27);
+  CHECK(decoded->m_prefixes[0].m_tokens_behind == 29);
+  CHECK(decoded->m_prefixes[1].m_engine == 30);
+  CHECK(decoded->m_prefixes[1].m_tokens == 32);
+  CHECK(GossipForOtherGroups(gossip).m_prefixes.empty());
   for (size_t i = 0; i < bytes.size(); ++i) {
     DecodeGossip(std::string_view(bytes).substr(0, i));
     std::string corrupted = bytes;
--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -41,6 +41,9 @@
   kPosBlamedParts,
   kPosExoneratedParts,
   kPosCount,
+  // Left out if it would be empty, so that VMs of earlier versions can read the
+  // messages of a fleet that doesn't use prompt affinity.
+  kPosPrefixes = kPosCount,
 };
 
 // Reads the rows of a flat list of numbers.
@@ -79,6 +82,7 @@
   gossip.m_grants.clear();
   gossip.m_backlogs.clear();
   gossip.m_queues.clear();
+  gossip.m_prefixes.clear();
   return gossip;
 }
 
@@ -92,6 +96,33 @@
   return rows;
 }
 
+// Counts of tokens beyond every memory size are cut, so that sums of them don't
+// overflow.
+int64_t DecodeTokens(double tokens) {
+  constexpr double kMaxTokens = 10'000'000;
+  return tokens > 0 ? static_cast<int64_t>(std::min(tokens, kMaxTokens)) : 0;
+}
+
+json EncodePrefixes(std::span<const PrefixReport> prefixes) {
+  json rows = json::array();
+  for (const PrefixReport& report : prefixes) {
+    rows.insert(rows.end(),
+                {json(report.m_engine), json(report.m_prefix),
+                 json(report.m_tokens), json(report.m_tokens_behind)});
+  }
+  return rows;
+}
+
+std::vector<PrefixReport> DecodePrefixes(const Rows& rows) {
+  std::vector<PrefixReport> prefixes;
+  for (size_t i = 0; i < std::min(rows.Count(), kMaxPrefixReports); ++i) {
+    prefixes.push_back({rows.At<uint32_t>(i, 0), rows.At<uint32_t>(i, 1),
+                        DecodeTokens(rows.At<double>(i, 2)),
+                        DecodeTokens(rows.At<double>(i, 3))});
+  }
+  return prefixes;
+}
+
 // Ages beyond every retention time are cut, so that the time that follows from
 // them doesn't overflow.
 Millis DecodeAge(int64_t ms) {
@@ -185,26 +216,29 @@
     }
     crashes.push_back(std::move(row));
   }
-  const json message = json::array({kLayoutVersion,
-                                    gossip.m_sender.m_id,
-                                    gossip.m_sender.m_incarnation,
-                                    gossip.m_sender.m_zone,
-                                    gossip.m_sender.m_address.ToString(),
-                                    gossip.m_sequence,
-                                    gossip.m_reaches_store,
-                                    gossip.m_operator_change,
-                                    gossip.m_upstream_change,
-                                    std::move(uses),
-                                    std::move(levels),
-                                    std::move(grants),
-                                    std::move(backlogs),
-                                    std::move(waiting),
-                                    std::move(queues),
-                                    std::move(jobs),
-                                    std::move(request_failures),
-                                    std::move(crashes),
-                                    EncodeParts(gossip.m_blamed_parts),
-                                    EncodeParts(gossip.m_exonerated_parts)});
+  json message = json::array({kLayoutVersion,
+                              gossip.m_sender.m_id,
+                              gossip.m_sender.m_incarnation,
+                              gossip.m_sender.m_zone,
+                              gossip.m_sender.m_address.ToString(),
+                              gossip.m_sequence,
+                              gossip.m_reaches_store,
+                              gossip.m_operator_change,
+                              gossip.m_upstream_change,
+                              std::move(uses),
+                              std::move(levels),
+                              std::move(grants),
+                              std::move(backlogs),
+                              std::move(waiting),
+                              std::move(queues),
+                              std::move(jobs),
+                              std::move(request_failures),
+                              std::move(crashes),
+                              EncodeParts(gossip.m_blamed_parts),
+                              EncodeParts(gossip.m_exonerated_parts)});
+  if (!gossip.m_prefixes.empty()) {
+    message.push_back(EncodePrefixes(gossip.m_prefixes));
+  }
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -215,7 +249,8 @@
     return std::nullopt;
   }
   const json message = json::from_msgpack(bytes, true, false);
-  if (!message.is_array() || message.size() != kPosCount ||
+  if (!message.is_array() ||
+      (message.size() != kPosCount && message.size() != kPosPrefixes + 1) ||
       message[kPosLayout] != kLayoutVersion || !message[kPosVm].is_string() ||
       !message[kPosIncarnation].is_number() ||
       !message[kPosSequence].is_number() || !message[kPosJobs].is_array() ||
@@ -293,6 +328,13 @@
     return std::nullopt;
   }
   gossip.m_part_crashes = *std::move(crashes);
+  if (message.size() > kPosPrefixes) {
+    const Rows prefixes(message[kPosPrefixes], 4);
+    if (!prefixes.IsValid()) {
+      return std::nullopt;
+    }
+    gossip.m_prefixes = DecodePrefixes(prefixes);
+  }
   const json& jobs = message[kPosJobs];
   for (size_t i = 0; i + 2 < jobs.size(); i += 3) {
     if (!jobs[i].is_string() || !jobs[i + 1].is_boolean() ||
--- a/packages/cluster/gossip_message.h
+++ b/packages/cluster/gossip_message.h
@@ -96,6 +96,18 @@
   Millis m_age;
 };
 
+// Maximum number of prefix reports in one message.
+inline constexpr size_t kMaxPrefixReports = 4;
+
+// The start of a prompt that an engine has read for a request of the sender.
+struct PrefixReport {
+  uint32_t m_engine = 0;  // EngineRunKey of the engine
+  uint32_t m_prefix = 0;  // hash of all parts up to the last of the prefix
+  int64_t m_tokens = 0;   // of the last part of the prefix
+  // Of the parts behind the prefix that aren't reported themselves.
+  int64_t m_tokens_behind = 0;
+};
+
 struct GossipMessage {
   VmRecord m_sender;
   uint64_t m_sequence = 0;  // increases with each message of an incarnation
@@ -116,6 +128,9 @@
   std::vector<PartReport> m_blamed_parts;
   // Parts that another VM blames wrongly, and their last complete response.
   std::vector<PartReport> m_exonerated_parts;
+  // The newest first, at most kMaxPrefixReports. None unless prompt affinity is
+  // on.
+  std::vector<PrefixReport> m_prefixes;
 };
 
 // Returns 32 bits of the hash of an id, which keep the message short.
