Let cached prompts count when an upstream is picked

CandidateLoad::m_saved_ms lowers the cost of an upstream that probably holds the start of the prompt, by at most one request.

--- a/packages/dispatch/pick_upstream.cc
+++ b/packages/dispatch/pick_upstream.cc
@@ -16,6 +16,11 @@
 // outdated load data from all picking the same upstream.
 constexpr double kJitter = 0.12;
 
+// Maximum saving by cached prompts, in slots. An upstream that is busier by
+// more than one request never wins by them, so that a popular prompt spreads to
+// as many upstreams as its load needs.
+constexpr double kMaxSaving = 1;
+
 // Used if no upstream has a measured work time.
 constexpr double kDefaultWorkMs = 30;
 
@@ -62,6 +67,7 @@
     cost += (preempts ? kPreemptCost : 0) / load.m_slots;
     cost += (load.m_same_zone ? 0 : kZoneCost) / load.m_slots;
     cost += kJitter * RandomUnit(random) / load.m_slots;
+    cost -= std::min(load.m_saved_ms / mean, kMaxSaving) / load.m_slots;
     const bool is_better =
         !best || (loads[*best].m_slow != load.m_slow ? loads[*best].m_slow
                                                      : cost < best_cost);
--- a/packages/dispatch/pick_upstream.h
+++ b/packages/dispatch/pick_upstream.h
@@ -25,6 +25,7 @@
   bool m_usable = true;  // healthy, not draining, not yet tried
   bool m_slow = false;   // gets requests only if no other has a slot
   bool m_probe = false;  // was slow; one request shall show whether it still is
+  double m_saved_ms = 0;  // work that it probably saves by its cached prompts
 };
 
 // Returns true if the other VMs should be notified at once that a request was
--- a/packages/dispatch/slot_queue.cc
+++ b/packages/dispatch/slot_queue.cc
@@ -33,23 +33,33 @@
                      std::string zone,
                      UpstreamTable& upstreams,
                      const ClusterView& cluster,
+                     PromptAffinity affinity,
                      std::function<void(Upstream&)> on_placed)
     : m_service(std::move(service)),
       m_zone(std::move(zone)),
       m_upstreams(upstreams),
       m_cluster(cluster),
+      m_affinity(affinity),
       m_on_placed(std::move(on_placed)) {}
 
 UpstreamPtr SlotQueue::Pick(std::span<const UpstreamPtr> candidates,
                             const SlotRequest& request,
                             bool& has_untried) const {
-  std::vector<CandidateLoad> loads =
-      GetLoads(candidates, m_zone, MonotonicNow());
+  const Millis now = MonotonicNow();
+  std::vector<CandidateLoad> loads = GetLoads(candidates, m_zone, now);
   for (size_t i = 0; i < loads.size(); ++i) {
     loads[i].m_usable = loads[i].m_usable && !request.m_excluded.contains(
                                                  candidates[i]->m_entry.m_id);
     has_untried = has_untried || loads[i].m_usable;
   }
+  if (!request.m_prompt.empty()) {
+    std::vector<uint32_t> run_keys;
+    run_keys.reserve(candidates.size());
+    for (const UpstreamPtr& candidate : candidates) {
+      run_keys.push_back(candidate->m_run_key);
+    }
+    SetSavings(m_affinity, run_keys, request.m_prompt, loads, now);
+  }
   const std::optional<size_t> choice = PickUpstream(loads, ThreadRandom());
   return choice ? candidates[*choice] : nullptr;
 }
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -13,6 +13,7 @@
 #include "aio/cancellation.h"
 #include "aio/task.h"
 #include "cluster/cluster_view.h"
+#include "dispatch/prompt_affinity.h"
 #include "dispatch/queue_order.h"
 #include "dispatch/upstream_table.h"
 
@@ -25,6 +26,8 @@
   std::set<std::string, std::less<>> m_excluded;
   // The request is no longer queued after this instant.
   Millis m_wait_deadline;
+  // Parts of the prompt; empty if cached prompts don't matter.
+  PromptChain m_prompt;
 };
 
 class SlotQueue {
@@ -34,6 +37,7 @@
             std::string zone,
             UpstreamTable& upstreams,
             const ClusterView& cluster,
+            PromptAffinity affinity,
             std::function<void(Upstream&)> on_placed);
 
   // Waits for a slot. Returns null if the wait deadline passes or the request
@@ -74,6 +78,7 @@
   std::string m_zone;
   UpstreamTable& m_upstreams;
   const ClusterView& m_cluster;
+  PromptAffinity m_affinity;
   std::function<void(Upstream&)> m_on_placed;
   std::list<Waiting*> m_waiting;
   double m_service_ms = 0;
--- a/packages/dispatch/upstream.cc
+++ b/packages/dispatch/upstream.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "cluster/gossip_message.h"
+#include "prompt_cache/prompt_cache_view.h"
 
 namespace bronzecross {
 namespace {
@@ -14,6 +15,7 @@
 Upstream::Upstream(UpstreamEntry entry)
     : m_entry(std::move(entry)),
       m_hash(ShortHash(m_entry.m_id)),
+      m_run_key(EngineRunKey(m_entry.m_id, m_entry.m_started)),
       m_pool(m_entry.m_address, kIdleConnection) {}
 
 void MarkLeaving(Upstream& upstream) {
--- a/packages/dispatch/upstream.h
+++ b/packages/dispatch/upstream.h
@@ -24,6 +24,8 @@
 
   UpstreamEntry m_entry;
   uint32_t m_hash;  // ShortHash of the id
+  // EngineRunKey, by which its cached prompts are predicted.
+  const uint32_t m_run_key;
   // No longer registered, so it receives no new requests.
   bool m_deregistered = false;
   // A response said that it is about to stop. This holds for the rest of the
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -13,6 +13,8 @@
 constexpr int64_t kMinMs = 100;
 constexpr int64_t kMaxMs = 24 * 3'600'000;
 
+constexpr int64_t kMaxPrefillTokensPerMs = 100'000;
+
 NetAddress ReadAddress(TomlTable& table, std::string_view name) {
   const std::string text = table.RequireString(name);
   if (text.empty()) {
@@ -89,6 +91,12 @@
       limits.GetInt("result_retention_ms", settings.m_result_retention.count(),
                     kMinMs, kMaxMs));
   limits.Finish();
+  TomlTable dispatch(root.GetTable("dispatch"), faults);
+  settings.m_prompt_affinity = dispatch.GetBool("prompt_affinity", false);
+  settings.m_prefill_tokens_per_ms =
+      dispatch.GetInt("prefill_tokens_per_ms", settings.m_prefill_tokens_per_ms,
+                      1, kMaxPrefillTokensPerMs);
+  dispatch.Finish();
   ReadLog(TomlTable(root.GetTable("log"), faults), settings);
   root.Finish();
   if (!faults.empty()) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -26,6 +26,9 @@
   std::vector<NetAddress> m_seeds;
   Millis m_drain_limit{7'000};         // maximum duration of a stop
   Millis m_result_retention{120'000};  // of finished jobs, since submission
+  // Whether upstreams that hold the start of a prompt are preferred.
+  bool m_prompt_affinity = false;
+  int64_t m_prefill_tokens_per_ms = 75;  // of the engines, about
   Severity m_log_level = Severity::kInfo;
   LogFormat m_log_format = LogFormat::kText;
 };
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -41,6 +41,17 @@
   CHECK(settings->m_callers.m_port == 8405);
   CHECK(settings->m_seeds.size() == 1);
   CHECK(settings->m_drain_limit == Millis(7'000));
+  CHECK_FALSE(settings->m_prompt_affinity);
+  const Result<GatewaySettings> affine = ParseGatewaySettings(
+      std::string(kSettings) +
+          "[dispatch]\nprompt_affinity = true\nprefill_tokens_per_ms = 90\n",
+      "s.toml");
+  REQUIRE(affine);
+  CHECK(affine->m_prompt_affinity);
+  CHECK(affine->m_prefill_tokens_per_ms == 90);
+  CHECK_FALSE(ParseGatewaySettings(
+      std::string(kSettings) + "[dispatch]\nprefill_tokens_per_ms = 0\n",
+      "s.toml"));
 }
 
 TEST_CASE("invalid settings are rejected with file, line and reason") {
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -46,6 +46,9 @@
   const std::string name(service);
   return m_queues
       .try_emplace(name, name, m_settings.m_zone, m_upstreams, m_cluster,
+                   PromptAffinity{
+                       &m_prompt_cache,
+                       static_cast<double>(m_settings.m_prefill_tokens_per_ms)},
                    [this](Upstream& upstream) { OnPlaced(upstream); })
       .first->second;
 }
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -18,6 +18,7 @@
 #include "fleet/fleet_config.h"
 #include "gateway/gateway_settings.h"
 #include "kv/kv_session.h"
+#include "prompt_cache/prompt_cache_view.h"
 #include "quota/quota_manager.h"
 
 namespace bronzecross {
@@ -64,6 +65,8 @@
   QuotaManager m_quotas;
   PoisonRequestTracker m_poison_requests;
   CrashingPartTracker m_crashing_parts;
+  // Empty unless prompt affinity is on.
+  PromptCacheView m_prompt_cache;
   std::map<std::string, SlotQueue, std::less<>> m_queues;
 
   // Owned by Gateway, which sets them before any task runs.
