Add the setting [dispatch] prompt_affinity

Callers with long shared prompts wait for the prefill of parts that another engine holds. With the setting on, requests to services with engines prefer these, and VMs report what they sent to their group. It is off by default, and must be turned on only when all VMs have this version.

--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -89,6 +89,7 @@
   }
   m_node.m_poison_requests.AddToGossip(message, now);
   m_node.m_crashing_parts.AddToGossip(message, now);
+  m_node.m_prompt_cache.AddToGossip(message, now);
   m_node.m_jobs->AddToGossip(message, now);
   return message;
 }
@@ -149,6 +150,9 @@
     return;
   }
   m_node.m_quotas.OnGossip(peer->m_gossip, m_sequence, now);
+  if (m_node.m_settings.m_prompt_affinity) {
+    m_node.m_prompt_cache.OnGossip(peer->m_gossip, now);
+  }
   m_node.m_upstreams.UpdatePeerPace(peer->m_gossip, now);
   m_node.m_upstreams.UpdatePeerLoad(m_node.m_cluster, now);
   m_node.m_jobs->Scheduler().PreemptAtOverfullUpstreams();
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -93,6 +93,13 @@
   m_deadline =
       request.m_arrived +
       std::min(timeout, request.m_fields.m_wait_budget.value_or(timeout));
+  const Service* service = FindServiceByName(*request.m_config, m_service);
+  if (node.m_settings.m_prompt_affinity && service != nullptr &&
+      service->m_is_engine) {
+    m_memory_tokens = service->m_memory_tokens;
+    m_prompt =
+        ChainParts(request.m_fields.m_parts, request.m_fields.m_has_all_parts);
+  }
 }
 
 bool OnlineRequest::MayRunAgain() const {
@@ -117,6 +124,7 @@
       now + MaxQueueWait(queue.GetState(), time_left,
                          m_request.m_route->m_latency_target);
   slot.m_excluded = m_excluded;
+  slot.m_prompt = m_prompt;
   return slot;
 }
 
@@ -212,9 +220,18 @@
   const Millis started = MonotonicNow();
   m_attempt_events = 0;
   UpstreamCall call(upstream, m_cancellation);
+  PromptSend prompt(m_node.m_prompt_cache, upstream->m_run_key, m_memory_tokens,
+                    m_prompt);
   const CallState state = co_await call.Start(request);
   LogAttempt(*upstream, state,
              state == CallState::kResponded ? call.Head().m_status : 0);
+  if (state == CallState::kResponded && call.Head().m_status == kOkStatus) {
+    prompt.OnResponse();
+  } else if (state == CallState::kNotRun) {
+    prompt.OnNotRun();
+  } else {
+    prompt.OnFailure();
+  }
   switch (state) {
     case CallState::kNotRun:
       ++m_rejections;
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -13,6 +13,7 @@
 #include "gateway/caller_reply.h"
 #include "gateway/incoming_request.h"
 #include "gateway/node.h"
+#include "prompt_cache/prompt_send.h"
 
 namespace bronzecross {
 
@@ -73,6 +74,10 @@
   std::string_view m_service;
   uint32_t m_fingerprint = 0;
   Millis m_deadline;
+  // The parts of the prompt, empty unless prompt affinity is on, and the memory
+  // of the service's engines.
+  PromptChain m_prompt;
+  int64_t m_memory_tokens = 0;
   // Ids of the upstreams that were tried already.
   std::set<std::string, std::less<>> m_excluded;
   int m_rejections = 0;  // attempts that reported that the request didn't run
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -114,7 +114,9 @@
        << "\"\nhistory_ms = " << m_options.m_store_history.count() << "\n"
        << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
        << "\"]\n"
-       << "[limits]\ndrain_limit_ms = 8000\n";
+       << "[limits]\ndrain_limit_ms = 8000\n"
+       << (m_options.m_prompt_affinity ? "[dispatch]\nprompt_affinity = true\n"
+                                       : "");
 }
 
 void GatewayCluster::StartVm(size_t index) {
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -29,6 +29,7 @@
   bool m_store_proxies = false;
   // How long the VMs take the store to keep its history.
   Millis m_store_history{20'000};
+  bool m_prompt_affinity = false;
 };
 
 // A caller's request to one VM.
