--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -86,6 +86,14 @@
   gossip.m_part_crashes = {{15, Millis(16), {17, 18}}, {19, Millis(), {}}};
   gossip.m_blamed_parts = {{20, Millis(21)}};
   gossip.m_exonerated_parts = {{22, Millis(23)}, {24, Millis(25)}};
+  // The message is an array (0xdc) of 23 values. The prefixes at its end take
+  // one byte (0x90) if there are none.
+  const std::string without = EncodeGossip(gossip);
+  CHECK(without.substr(0, 3) == std::string("\xdc\0\x17", 3));
+  CHECK(without.back() == '\x90');
+  REQUIRE(DecodeGossip(without));
+  CHECK(DecodeGossip(without)->m_prefixes.empty());
+  gossip.m_prefixes = {{26, 27, 28, 29}, {30, 31, 32, 0}};
   const std::string bytes = EncodeGossip(gossip);
   const std::optional<GossipMessage> decoded = DecodeGossip(bytes);
   REQUIRE(decoded);
@@ -108,6 +116,12 @@
   CHECK(decoded->m_blamed_parts[0].m_age == Millis(21));
   REQUIRE(decoded->m_exonerated_parts.size() == 2);
   CHECK(decoded->m_exonerated_parts[1].m_part == 24);
+  REQUIRE(decoded->m_prefixes.size() == 2);
+  CHECK(decoded->m_prefixes[0].m_prefix == 27);
+  CHECK(decoded->m_prefixes[0].m_tokens_behind == 29);
+  CHECK(decoded->m_prefixes[1].m_engine == 30);
+  CHECK(decoded->m_prefixes[1].m_tokens == 32);
+  CHECK(GossipForOtherGroups(gossip).m_prefixes.empty());
   for (size_t i = 0; i < bytes.size(); ++i) {
     DecodeGossip(std::string_view(bytes).substr(0, i));
     std::string corrupted = bytes;
@@ -127,7 +141,7 @@
   gossip.m_uses = {{1, 2, 3, 1, 24}, {4, 1, 0, 0, 25}};
   const std::string without = EncodeGossip(gossip);
   nlohmann::json plain = nlohmann::json::from_msgpack(without);
-  CHECK(plain.size() == kUseFigures + 1);
+  CHECK(plain.size() == kUseFigures + 2);
   CHECK(plain[kUseFigures] == nlohmann::json::array());
   REQUIRE(DecodeGossip(without));
   CHECK(DecodeGossip(without)->m_uses[1].m_machine_percent == 0);
@@ -163,7 +177,7 @@
   nlohmann::json::to_msgpack(message, large);
   REQUIRE(DecodeGossip(large));
   CHECK(DecodeGossip(large)->m_uses[0].m_tokens == 0);
-  for (const size_t size : {kUseFigures, kUseFigures + 2}) {
+  for (const size_t size : {kUseFigures, plain.size() - 1, plain.size() + 1}) {
     nlohmann::json resized = plain;
     resized.get_ref<nlohmann::json::array_t&>().resize(size,
                                                        nlohmann::json::array());
@@ -171,6 +185,10 @@
     nlohmann::json::to_msgpack(resized, odd);
     CHECK_FALSE(DecodeGossip(odd));
   }
+  plain.back() = nlohmann::json{1, 2, 3};  // no whole row of prefixes
+  std::string odd_prefixes;
+  nlohmann::json::to_msgpack(plain, odd_prefixes);
+  CHECK_FALSE(DecodeGossip(odd_prefixes));
 }
 
 TEST_CASE("older gossip and earlier incarnations are ignored") {
--- a/packages/dispatch/pick_upstream.cc
+++ b/packages/dispatch/pick_upstream.cc
@@ -19,6 +19,11 @@
 // outdated load data from all picking the same upstream.
 constexpr double kJitter = 0.12;
 
+// Maximum saving by cached prompts, in slots. An upstream that is busier by
+// more than one request never wins by them, so that a popular prompt spreads to
+// as many upstreams as its load needs.
+constexpr double kMaxSaving = 1;
+
 // Used if no upstream has a measured work time.
 constexpr double kDefaultWorkMs = 30;
 
@@ -101,6 +106,7 @@
     cost += (load.m_same_zone ? 0 : kZoneCost) / load.m_slots;
     cost += (load.m_cold ? kColdCost : 0) / load.m_slots;
     cost += kJitter * RandomUnit(random) / load.m_slots;
+    cost -= std::min(load.m_saved_ms / mean, kMaxSaving) / load.m_slots;
     const bool is_better =
         !best || PrefersByClass(load, loads[*best]).value_or(cost < best_cost);
     if (is_better) {
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "base/metrics.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "gateway/buffered_bytes.h"
 #include "gateway/crash_check.h"
 #include "http1/write_message.h"
 
@@ -16,19 +16,6 @@
 // rejected.
 constexpr int kMaxRejections = 6;
 
-// Maximum size of a response that isn't streamed. It is read completely before
-// it is relayed, so that a broken response can still be followed by another
-// attempt or an error response.
-constexpr size_t kMaxBufferedBytes = 4 << 20;
-
-// Maximum size of all responses together that this VM reads before it relays
-// them. Many large responses at once would take more memory than the smallest
-// VMs have.
-constexpr size_t kMaxTotalBufferedBytes = 32 << 20;
-
-// Responses up to this size don't count toward kMaxTotalBufferedBytes.
-constexpr size_t kUncountedBytes = 64 << 10;
-
 // Maximum size of one event of a stream. Bytes that never end an event would
 // otherwise be collected until the deadline.
 constexpr size_t kMaxEventBytes = 256 << 10;
@@ -51,28 +38,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kOkStatus = 200;
 
-// Counts the bytes of one buffered response in the total of the VM.
-class BufferedBytes {
- public:
-  explicit BufferedBytes(size_t& total) : m_total(total) {}
-  ~BufferedBytes() { m_total -= m_counted; }
-  BufferedBytes(const BufferedBytes&) = delete;
-  BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-  // Returns whether a response of `bytes` may be kept in memory.
-  bool Update(size_t bytes) {
-    const size_t counted = bytes > kUncountedBytes ? bytes : 0;
-    m_total += counted - m_counted;
-    m_counted = counted;
-    return bytes <= kMaxBufferedBytes &&
-           (counted == 0 || m_total <= kMaxTotalBufferedBytes);
-  }
-
- private:
-  size_t& m_total;
-  size_t m_counted = 0;
-};
-
 // A request that received more events before its response broke isn't the cause
 // of the crash.
 constexpr int kMaxEventsBeforeCrash = 1;
@@ -94,6 +59,13 @@
   m_deadline =
       request.m_arrived +
       std::min(timeout, request.m_fields.m_wait_budget.value_or(timeout));
+  const Service* service = FindServiceByName(*request.m_config, m_service);
+  if (node.m_settings.m_prompt_affinity && service != nullptr &&
+      service->m_is_engine) {
+    m_memory_tokens = service->m_memory_tokens;
+    m_prompt =
+        ChainParts(request.m_fields.m_parts, request.m_fields.m_has_all_parts);
+  }
 }
 
 bool OnlineRequest::MayRunAgain() const {
@@ -120,6 +92,7 @@
   slot.m_excluded = m_excluded;
   slot.m_regions = AllowedRegionsOf(*m_request.m_route, workspace);
   slot.m_tokens = Tokens();
+  slot.m_prompt = m_prompt;
   return slot;
 }
 
@@ -215,9 +188,18 @@
   const Millis started = MonotonicNow();
   m_attempt_events = 0;
   UpstreamCall call(upstream, m_cancellation);
+  PromptSend prompt(m_node.m_prompt_cache, upstream->m_run_key, m_memory_tokens,
+                    m_prompt);
   const CallState state = co_await call.Start(request);
   LogAttempt(*upstream, state,
              state == CallState::kResponded ? call.Head().m_status : 0);
+  if (state == CallState::kResponded && call.Head().m_status == kOkStatus) {
+    prompt.OnResponse();
+  } else if (state == CallState::kNotRun) {
+    prompt.OnNotRun();
+  } else {
+    prompt.OnFailure();
+  }
   switch (state) {
     case CallState::kNotRun:
       ++m_rejections;
@@ -490,38 +472,4 @@
                 RetryAfter(ExpectedWait(state)));
 }
 
-void OnlineRequest::LogAttempt(const Upstream& upstream,
-                               CallState state,
-                               int status) const {
-  Log(Severity::kInfo, LogPart::kRouting, "Tried an upstream.",
-      {{"request", m_request.m_fields.m_request_id},
-       {"upstream", upstream.m_entry.m_id},
-       {"state", CallStateName(state)},
-       {"status", status},
-       {"online", upstream.m_online},
-       {"batch", upstream.m_batch},
-       {"peer_online", upstream.m_peer_online},
-       {"peer_batch", upstream.m_peer_batch},
-       {"ms", MonotonicNow() - m_request.m_arrived}});
-}
-
-void OnlineRequest::LogEnd(std::string_view outcome, int status) const {
-  const Millis took = MonotonicNow() - m_request.m_arrived;
-  const std::string& route = m_request.m_route->m_name;
-  Log(Severity::kInfo, LogPart::kOnline, "A request ended.",
-      {{"request", m_request.m_fields.m_request_id},
-       {"route", route},
-       {"workspace",
-        m_request.m_workspace == nullptr ? "-" : m_request.m_workspace->m_name},
-       {"config", m_request.m_config->m_version},
-       {"outcome", outcome},
-       {"status", status},
-       {"refusals", m_rejections},
-       {"runs", m_runs},
-       {"ms", took}});
-  CountMetric("bronzecross_requests_total", {{"outcome", outcome}});
-  ObserveSeconds("bronzecross_request_seconds", {{"outcome", outcome}},
-                 took.Seconds());
-}
-
 }  // namespace bronzecross
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -120,7 +120,10 @@
        << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
        << "\"]\n"
        << "[placement]\n"
-       << m_options.m_placement << "[limits]\ndrain_limit_ms = 8000\n";
+       << m_options.m_placement
+       << (m_options.m_prompt_affinity ? "[dispatch]\nprompt_affinity = true\n"
+                                       : "")
+       << "[limits]\ndrain_limit_ms = 8000\n";
 }
 
 void GatewayCluster::StartVm(size_t index) {
