--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -42,6 +42,7 @@
   kPosExoneratedParts,
   kPosBatchLoads,
   kPosUseFigures,
+  kPosPrefixes,
   kPosCount,
 };
 
@@ -88,6 +89,7 @@
   gossip.m_grants.clear();
   gossip.m_backlogs.clear();
   gossip.m_queues.clear();
+  gossip.m_prefixes.clear();
   return gossip;
 }
 
@@ -101,6 +103,33 @@
   return rows;
 }
 
+// Counts of tokens beyond every memory size are cut, so that sums of them don't
+// overflow.
+int64_t DecodeTokens(double tokens) {
+  constexpr double kMaxTokens = 10'000'000;
+  return tokens > 0 ? static_cast<int64_t>(std::min(tokens, kMaxTokens)) : 0;
+}
+
+json EncodePrefixes(std::span<const PrefixReport> prefixes) {
+  json rows = json::array();
+  for (const PrefixReport& report : prefixes) {
+    rows.insert(rows.end(),
+                {json(report.m_engine), json(report.m_prefix),
+                 json(report.m_tokens), json(report.m_tokens_behind)});
+  }
+  return rows;
+}
+
+std::vector<PrefixReport> DecodePrefixes(const Rows& rows) {
+  std::vector<PrefixReport> prefixes;
+  for (size_t i = 0; i < std::min(rows.Count(), kMaxPrefixReports); ++i) {
+    prefixes.push_back({rows.At<uint32_t>(i, 0), rows.At<uint32_t>(i, 1),
+                        DecodeTokens(rows.At<double>(i, 2)),
+                        DecodeTokens(rows.At<double>(i, 3))});
+  }
+  return prefixes;
+}
+
 // Ages beyond every retention time are cut, so that the time that follows from
 // them doesn't overflow.
 Millis DecodeAge(int64_t ms) {
@@ -262,7 +291,8 @@
                                     EncodeParts(gossip.m_blamed_parts),
                                     EncodeParts(gossip.m_exonerated_parts),
                                     std::move(batch_loads),
-                                    EncodeUseFigures(gossip.m_uses)});
+                                    EncodeUseFigures(gossip.m_uses),
+                                    EncodePrefixes(gossip.m_prefixes)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -298,10 +328,12 @@
   const Rows request_failures(message[kPosRequestFailures], 2);
   const Rows blamed(message[kPosBlamedParts], 2);
   const Rows exonerated(message[kPosExoneratedParts], 2);
+  const Rows prefixes(message[kPosPrefixes], 4);
   if (!uses.IsValid() || !levels.IsValid() || !grants.IsValid() ||
       !backlogs.IsValid() || !batch_loads.IsValid() || !waiting.IsValid() ||
       !queues.IsValid() || !request_failures.IsValid() || !blamed.IsValid() ||
-      !exonerated.IsValid() || !message[kPosPartCrashes].is_array()) {
+      !exonerated.IsValid() || !prefixes.IsValid() ||
+      !message[kPosPartCrashes].is_array()) {
     return std::nullopt;
   }
   GossipMessage gossip;
@@ -359,6 +391,7 @@
     return std::nullopt;
   }
   gossip.m_part_crashes = *std::move(crashes);
+  gossip.m_prefixes = DecodePrefixes(prefixes);
   const json& jobs = message[kPosJobs];
   for (size_t i = 0; i + 2 < jobs.size(); i += 3) {
     if (!jobs[i].is_string() || !jobs[i + 1].is_boolean() ||
--- a/packages/dispatch/pick_upstream.h
+++ b/packages/dispatch/pick_upstream.h
@@ -40,6 +40,7 @@
   bool m_cold = false;       // slow for some seconds, costs a slot more
   bool m_cold_held = false;  // unusable only as its cold rate is used up
   bool m_probe = false;  // was slow; one request shall show whether it still is
+  double m_saved_ms = 0;  // work that it probably saves by its cached prompts
 };
 
 // Returns true if the other VMs should be notified at once that a request was
--- a/packages/dispatch/slot_queue.h
+++ b/packages/dispatch/slot_queue.h
@@ -13,6 +13,7 @@
 #include "aio/cancellation.h"
 #include "aio/task.h"
 #include "cluster/cluster_view.h"
+#include "dispatch/prompt_affinity.h"
 #include "dispatch/queue_order.h"
 #include "dispatch/upstream_table.h"
 
@@ -29,6 +30,8 @@
   Millis m_wait_deadline;
   // Prompt and output tokens at most; 0: unknown.
   int64_t m_tokens = 0;
+  // Parts of the prompt; empty if cached prompts don't matter.
+  PromptChain m_prompt;
 };
 
 class SlotQueue {
@@ -38,6 +41,7 @@
             std::string zone,
             UpstreamTable& upstreams,
             const ClusterView& cluster,
+            PromptAffinity affinity,
             std::function<void(Upstream&)> on_placed);
 
   // Waits for a slot. Returns null if the wait deadline passes or the request
@@ -95,6 +99,7 @@
   std::string m_zone;
   UpstreamTable& m_upstreams;
   const ClusterView& m_cluster;
+  PromptAffinity m_affinity;
   std::function<void(Upstream&)> m_on_placed;
   std::list<Waiting*> m_waiting;
   double m_service_ms = 0;
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -16,6 +16,7 @@
 // Bounds of the settings for cold upstreams.
 constexpr double kMaxColdOver = 100;
 constexpr double kMaxColdSlack = 100'000;
+constexpr int64_t kMaxPrefillTokensPerMs = 100'000;
 
 NetAddress ReadAddress(TomlTable& table, std::string_view name) {
   const std::string text = table.RequireString(name);
@@ -116,6 +117,12 @@
   batch.Finish();
   ReadPlacement(TomlTable(root.GetTable("placement"), faults), faults,
                 settings);
+  TomlTable dispatch(root.GetTable("dispatch"), faults);
+  settings.m_prompt_affinity = dispatch.GetBool("prompt_affinity", false);
+  settings.m_prefill_tokens_per_ms =
+      dispatch.GetInt("prefill_tokens_per_ms", settings.m_prefill_tokens_per_ms,
+                      1, kMaxPrefillTokensPerMs);
+  dispatch.Finish();
   ReadLog(TomlTable(root.GetTable("log"), faults), settings);
   root.Finish();
   if (!faults.empty()) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -30,6 +30,9 @@
   // Whether jobs go to VM groups with a lower batch load.
   bool m_forward_jobs = false;
   PlacementSettings m_placement;
+  // Whether upstreams that hold the start of a prompt are preferred.
+  bool m_prompt_affinity = false;
+  int64_t m_prefill_tokens_per_ms = 75;  // of the engines, about
   Severity m_log_level = Severity::kInfo;
   LogFormat m_log_format = LogFormat::kText;
 };
