Evacuate zones and let them return cold in the soak

Callers of a fleet whose operator evacuates a zone need the zone left alone from 5 s after the evacuation on, and its upstreams spared when they return. The soak didn't play either among its other faults.

VMs and upstreams of a soak are now in three zones, one more sequence evacuates the zone of an upstream and withdraws that, and the engine service has a cold time. One evacuation follows without any fault, since disturbed VMs are excused. Two checks look at the runs in evacuated and in returning zones; run_checks_test plants violations of both and shows what is excused.

--- a/tests/soak/fault_stream.cc
+++ b/tests/soak/fault_stream.cc
@@ -7,6 +7,8 @@
 
 #include "base/random.h"
 #include "base/text.h"
+#include "soak/placement_checks.h"
+#include "soak/soak_placement.h"
 
 namespace bronzecross {
 namespace {
@@ -21,6 +23,15 @@
 // A VM that was started again is ready within this.
 constexpr Millis kReadyLimit{10'000};
 
+// Longer than the time for which a VM must be undisturbed to be in touch.
+constexpr Millis kCalmBeforeEvacuation{4'500};
+// How long the bound of an evacuation is exceeded, and the cold time after it.
+constexpr Millis kCalmEvacuation = kSoakEvacuateBound + Millis(2'000);
+constexpr Millis kCalmReturn{3'500};
+
+// The first two versions of the configuration are written before the faults.
+constexpr int kFirstKeyVersion = 3;
+
 class Draw {
  public:
   explicit Draw(uint64_t seed) : m_random(seed) {}
@@ -229,7 +240,7 @@
     default: {
       const Fault fault(world.m_log, "rotate-key", FaultPlace::kOperator, 0);
       const std::string key = Concat("key-", round);
-      world.m_cluster.Operator().PublishKey(round + 2, key);
+      world.m_cluster.Operator().PublishKey(round + kFirstKeyVersion, key);
       world.m_log.AddKey(key);
       break;
     }
@@ -302,6 +313,21 @@
   replica.Register("ready");
 }
 
+// The span begins once the evacuation is acknowledged, and ends before its
+// withdrawal is written.
+template <typename Wait>
+void EvacuateDuring(SoakWorld& world, Draw& draw, const Wait& wait) {
+  const int zone = ZoneIndexOf(
+      static_cast<int>(draw.Between(0, world.m_options.m_engines - 1)));
+  const std::string name = SoakZones()[Index(zone)];
+  world.m_cluster.Operator().Evacuate(name);
+  {
+    const Fault fault(world.m_log, kEvacuateFault, FaultPlace::kOperator, zone);
+    wait();
+  }
+  world.m_cluster.Operator().WithdrawEvacuation(name);
+}
+
 }  // namespace
 
 void RunVmFaults(SoakWorld& world, uint64_t seed, Millis until) {
@@ -334,4 +360,19 @@
   }
 }
 
+void RunEvacuations(SoakWorld& world, uint64_t seed, Millis until) {
+  Draw draw(seed);
+  while (MonotonicNow() < until) {
+    draw.SleepBetween(kShortestPauseMs, kLongestPauseMs);
+    EvacuateDuring(world, draw, [&draw] { draw.SleepBetween(500, 9'000); });
+  }
+}
+
+void EvacuateUndisturbed(SoakWorld& world, uint64_t seed) {
+  Draw draw(seed);
+  SleepFor(kCalmBeforeEvacuation);
+  EvacuateDuring(world, draw, [] { SleepFor(kCalmEvacuation); });
+  SleepFor(kCalmReturn);
+}
+
 }  // namespace bronzecross
--- a/tests/soak/fault_stream.h
+++ b/tests/soak/fault_stream.h
@@ -19,6 +19,13 @@
 void RunStoreFaults(SoakWorld& world, uint64_t seed, Millis until);
 // Refusals, cut streams, silence, resets and planned departures of upstreams:
 void RunEngineFaults(SoakWorld& world, uint64_t seed, Millis until);
+// Evacuations of one engine's zone, each of which is withdrawn:
+void RunEvacuations(SoakWorld& world, uint64_t seed, Millis until);
+
+// Evacuates one engine's zone while no fault is injected, and returns when its
+// engines are warm again. The checks of evacuations excuse disturbed VMs; this
+// gives them a time without disturbance.
+void EvacuateUndisturbed(SoakWorld& world, uint64_t seed);
 
 }  // namespace bronzecross
 
--- a/tests/soak/run_checks.cc
+++ b/tests/soak/run_checks.cc
@@ -7,6 +7,7 @@
 
 #include "aio/wait.h"
 #include "base/text.h"
+#include "soak/placement_checks.h"
 
 namespace bronzecross {
 namespace {
@@ -272,6 +273,8 @@
   });
   CheckRate(history, runs, rate_per_s, burst, broken);
   CheckLeaving(history, broken);
+  CheckEvacuations(history, broken);
+  CheckColdEngines(history, broken);
   return broken;
 }
 
--- a/tests/soak/run_checks_test.cc
+++ b/tests/soak/run_checks_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include "soak/placement_checks.h"
 #include "soak/run_checks.h"
+#include "soak/soak_placement.h"
 
 namespace bronzecross {
 namespace {
@@ -135,5 +137,106 @@
   CHECK(CountBroken(history) == 0);
 }
 
+TEST_CASE("a request to an evacuated zone is seen") {
+  SoakHistory history;
+  history.m_calls = {MakeCall("a", RouteUse::kPlain)};
+  history.m_runs = {MakeRun("a")};
+  history.m_faults = {{kEvacuateFault, FaultPlace::kOperator, 0, Millis(15'000),
+                       Millis(22'000)}};
+  CHECK(CountBroken(history) == 1);
+  // An engine of another zone, one of the same zone.
+  history.m_runs[0].m_engine = 1;
+  CHECK(CountBroken(history) == 0);
+  history.m_runs[0].m_engine = static_cast<int>(SoakZones().size());
+  CHECK(CountBroken(history) == 1);
+  // Withdrawn before, and within the bound.
+  history.m_faults[0].m_to = Millis(20'000);
+  CHECK(CountBroken(history) == 0);
+  history.m_faults[0].m_to = Millis(22'000);
+  history.m_faults[0].m_from = Millis(15'011);
+  CHECK(CountBroken(history) == 0);
+}
+
+TEST_CASE("only a disturbed VM is excused from an evacuation") {
+  SoakHistory history;
+  history.m_calls = {MakeCall("a", RouteUse::kPlain)};
+  history.m_runs = {MakeRun("a")};
+  history.m_faults = {
+      {kEvacuateFault, FaultPlace::kOperator, 0, Millis(15'000),
+       Millis(22'000)},
+      {"pause", FaultPlace::kVm, 0, Millis(9'000), Millis(11'500)}};
+  CHECK(CountBroken(history) == 0);
+  history.m_faults[1].m_to = Millis(10'900);
+  CHECK(CountBroken(history) == 1);
+  history.m_faults[1] = {"pause", FaultPlace::kVm, 1, Millis(16'000),
+                         Millis(17'000)};
+  CHECK(CountBroken(history) == 1);
+  history.m_faults[1] = {"refuse", FaultPlace::kStore, 0, Millis(16'000),
+                         Millis(17'000)};
+  CHECK(CountBroken(history) == 0);
+  history.m_faults.pop_back();
+  // The VM that sent an item isn't known.
+  history.m_calls.clear();
+  SoakJob job;
+  job.m_id = "j";
+  job.m_items = 1;
+  job.m_accepted = true;
+  history.m_jobs = {job};
+  history.m_runs = {MakeRun("j-item-0")};
+  CHECK(CountBroken(history) == 1);
+  history.m_faults.push_back(
+      {"pause", FaultPlace::kVm, 1, Millis(16'000), Millis(17'000)});
+  CHECK(CountBroken(history) == 0);
+}
+
+// Requests at engine 0 in every 50 ms, from the return of its zone at 20 s.
+SoakHistory MakeReturn(int requests) {
+  SoakHistory history;
+  for (int i = 0; i < requests; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    history.m_calls.push_back(MakeCall(id, RouteUse::kPlain));
+    history.m_runs.push_back(MakeRun(id));
+    history.m_runs.back().m_run.m_at = Millis(20'000 + i * int64_t{50});
+  }
+  history.m_faults = {{kEvacuateFault, FaultPlace::kOperator, 0, Millis(14'000),
+                       Millis(20'000)}};
+  return history;
+}
+
+TEST_CASE("a cold engine over its bound is seen") {
+  const int bound = static_cast<int>(kSoakColdBound);
+  CHECK(CountBroken(MakeReturn(bound)) == 0);
+  CHECK(CountBroken(MakeReturn(bound + 1)) == 1);
+  SoakHistory history = MakeReturn(bound + 1);
+  // Beyond one window, and after the cold time.
+  history.m_runs.back().m_run.m_at = Millis(21'000);
+  CHECK(CountBroken(history) == 0);
+  history = MakeReturn(bound + 1);
+  for (SeenRun& seen : history.m_runs) {
+    seen.m_run.m_at += Millis(3'000);
+  }
+  CHECK(CountBroken(history) == 0);
+}
+
+TEST_CASE("only disturbance excuses requests at a cold engine") {
+  const int over = static_cast<int>(kSoakColdBound) + 1;
+  SoakHistory history = MakeReturn(over);
+  // The engine itself, another one, and a VM that sent one of the requests.
+  history.m_faults.push_back(
+      {"slow", FaultPlace::kEngine, 0, Millis(19'000), Millis(20'500)});
+  CHECK(CountBroken(history) == 0);
+  history.m_faults[1].m_target = 1;
+  CHECK(CountBroken(history) == 1);
+  history.m_calls[0].m_vm = 1;
+  history.m_faults[1] = {"pause", FaultPlace::kVm, 1, Millis(16'000),
+                         Millis(17'000)};
+  CHECK(CountBroken(history) == 0);
+  history.m_faults.pop_back();
+  CHECK(CountBroken(history) == 1);
+  // An evacuation that VMs need not have learned of.
+  history.m_faults[0].m_from = Millis(15'500);
+  CHECK(CountBroken(history) == 0);
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -7,10 +7,12 @@
 #include <absl/synchronization/blocking_counter.h>
 #include <absl/synchronization/notification.h>
 
+#include "base/text.h"
 #include "soak/fault_stream.h"
 #include "soak/job_callers.h"
 #include "soak/online_callers.h"
 #include "soak/run_checks.h"
+#include "soak/soak_placement.h"
 
 namespace bronzecross {
 namespace {
@@ -23,7 +25,8 @@
 constexpr size_t kVmStreams = 2;
 constexpr size_t kEngineStreams = 2;
 
-// Seeds that one soak derives from its own.
+// Seeds that one soak derives from its own; the last one is that of the
+// evacuation after the faults.
 constexpr uint64_t kSeedsPerSoak = 10;
 
 // Time for which all runs well before the faults and after them.
@@ -38,6 +41,10 @@
   cluster.m_rate_per_s = kSoakRatePerS;
   cluster.m_burst = kSoakBurst;
   cluster.m_store_proxies = true;
+  cluster.m_engine_zones = SoakZones();
+  cluster.m_vm_zones = SoakZones();
+  cluster.m_placement =
+      Concat("evacuate_ms = ", kSoakEvacuateBound.count(), "\n");
   return cluster;
 }
 
@@ -74,6 +81,7 @@
     std::vector<Stream> streams(kVmStreams, RunVmFaults);
     streams.insert(streams.end(), kEngineStreams, RunEngineFaults);
     streams.push_back(RunStoreFaults);
+    streams.push_back(RunEvacuations);
     absl::BlockingCounter running(static_cast<int>(streams.size()));
     uint64_t seed = m_world.m_options.m_seed * kSeedsPerSoak;
     for (const Stream stream : streams) {
@@ -116,6 +124,7 @@
   SoakWorld world(options, log, cluster);
   PutProxiesBeforeEngines(world);
   log.AddKey("key-a");
+  cluster.Operator().PublishCold(2, kSoakColdSeconds, kSoakColdPerSecond);
   SleepFor(kCalm);
 
   std::vector<std::thread> callers;
@@ -133,6 +142,8 @@
   FaultThreads faults(world);
   faults.Run();
   CheckAllServe(world, kServeLimit);
+  EvacuateUndisturbed(world,
+                      options.m_seed * kSeedsPerSoak + kSeedsPerSoak - 1);
   world.m_stopping = true;
   for (std::thread& caller : callers) {
     caller.join();
