Read bounds on callers from the gateway's settings

Machines may not show their memory and descriptors, and tests need bounds below those of the machine. The settings [memory] and [callers] are read and checked; nothing uses them yet. Run: gateway_test passes.

--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -26,6 +26,30 @@
   return *std::move(address);
 }
 
+// Bounds of the memory and connection settings.
+constexpr int64_t kMaxMb = 1 << 24;
+constexpr int64_t kMaxDescriptors = 1 << 24;
+constexpr int64_t kMaxBodyRate = 1 << 30;
+
+void ReadCallerBounds(TomlTable memory,
+                      TomlTable callers,
+                      GatewaySettings& settings) {
+  settings.m_machine_mb =
+      memory.GetInt("machine_mb", settings.m_machine_mb, 0, kMaxMb);
+  settings.m_budget_mb =
+      memory.GetInt("budget_mb", settings.m_budget_mb, 0, kMaxMb);
+  memory.Finish();
+  settings.m_max_descriptors = callers.GetInt(
+      "max_descriptors", settings.m_max_descriptors, 0, kMaxDescriptors);
+  settings.m_max_connections = callers.GetInt(
+      "max_connections", settings.m_max_connections, 0, kMaxDescriptors);
+  settings.m_min_body_bytes_per_s = callers.GetInt(
+      "min_body_bytes_per_s", settings.m_min_body_bytes_per_s, 1, kMaxBodyRate);
+  settings.m_body_grace = Millis(callers.GetInt(
+      "body_grace_ms", settings.m_body_grace.count(), kMinMs, kMaxMs));
+  callers.Finish();
+}
+
 void ReadLog(TomlTable log, GatewaySettings& settings) {
   const Result<Severity> level = ParseSeverity(log.GetString("level", "info"));
   if (level) {
@@ -89,6 +113,8 @@
       limits.GetInt("result_retention_ms", settings.m_result_retention.count(),
                     kMinMs, kMaxMs));
   limits.Finish();
+  ReadCallerBounds(TomlTable(root.GetTable("memory"), faults),
+                   TomlTable(root.GetTable("callers"), faults), settings);
   ReadLog(TomlTable(root.GetTable("log"), faults), settings);
   root.Finish();
   if (!faults.empty()) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #ifndef BRONZECROSS_GATEWAY_GATEWAY_SETTINGS_H_
 #define BRONZECROSS_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,17 @@
   std::vector<NetAddress> m_seeds;
   Millis m_drain_limit{7'000};         // maximum duration of a stop
   Millis m_result_retention{120'000};  // of finished jobs, since submission
+  // Memory and descriptors of the machine, for machines that don't show them;
+  // 0: as the system reports.
+  int64_t m_machine_mb = 0;
+  int64_t m_max_descriptors = 0;
+  // Maximum memory for what connections hold, and maximum number of callers'
+  // connections; 0: derived from the memory and the descriptors.
+  int64_t m_budget_mb = 0;
+  int64_t m_max_connections = 0;
+  // A request body must arrive at this rate once the grace period has passed.
+  int64_t m_min_body_bytes_per_s = 1'024;
+  Millis m_body_grace{5'000};
   Severity m_log_level = Severity::kInfo;
   LogFormat m_log_format = LogFormat::kText;
 };
--- a/packages/gateway/gateway_test.cc
+++ b/packages/gateway/gateway_test.cc
@@ -43,6 +43,29 @@
   CHECK(settings->m_drain_limit == Millis(7'000));
 }
 
+TEST_CASE(
+    "bounds on callers are parsed, and come from the machine by default") {
+  const Result<GatewaySettings> none = ParseGatewaySettings(kSettings, "s");
+  REQUIRE(none);
+  CHECK(none->m_budget_mb == 0);
+  CHECK(none->m_max_connections == 0);
+  const std::string text = std::string(kSettings) +
+                           "[memory]\nmachine_mb = 120\nbudget_mb = 30\n"
+                           "[callers]\nmax_descriptors = 3075\n"
+                           "max_connections = 9\nmin_body_bytes_per_s = 7\n"
+                           "body_grace_ms = 900\n";
+  const Result<GatewaySettings> settings = ParseGatewaySettings(text, "s");
+  REQUIRE(settings);
+  CHECK(settings->m_machine_mb == 120);
+  CHECK(settings->m_budget_mb == 30);
+  CHECK(settings->m_max_descriptors == 3'075);
+  CHECK(settings->m_max_connections == 9);
+  CHECK(settings->m_min_body_bytes_per_s == 7);
+  CHECK(settings->m_body_grace == Millis(900));
+  CHECK_FALSE(ParseGatewaySettings(
+      std::string(kSettings) + "[memory]\nbudget_mb = -1\n", "s"));
+}
+
 TEST_CASE("invalid settings are rejected with file, line and reason") {
   std::string text = kSettings;
   text.replace(text.find("10.200.1.7:8408"), 15, "store.example:1");
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -114,7 +114,8 @@
        << "\"\nhistory_ms = " << m_options.m_store_history.count() << "\n"
        << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
        << "\"]\n"
-       << "[limits]\ndrain_limit_ms = 8000\n";
+       << "[limits]\ndrain_limit_ms = 8000\n"
+       << m_options.m_settings;
 }
 
 void GatewayCluster::StartVm(size_t index) {
@@ -134,6 +135,18 @@
   return NetAddress{m_ip, static_cast<uint16_t>(m_vms[vm]->m_callers)};
 }
 
+NetAddress GatewayCluster::ReadinessAddress(size_t vm) const {
+  return NetAddress{m_ip, static_cast<uint16_t>(m_vms[vm]->m_readiness)};
+}
+
+NetAddress GatewayCluster::MetricsAddress(size_t vm) const {
+  return NetAddress{m_ip, static_cast<uint16_t>(m_vms[vm]->m_metrics)};
+}
+
+NetAddress GatewayCluster::PeerAddress(size_t vm) const {
+  return NetAddress{m_ip, static_cast<uint16_t>(m_vms[vm]->m_peers)};
+}
+
 bool GatewayCluster::IsReady(size_t vm) {
   HttpCall call;
   call.m_url = Concat("http://", m_ip, ":", m_vms[vm]->m_readiness,
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -29,6 +29,8 @@
   bool m_store_proxies = false;
   // How long the VMs take the store to keep its history.
   Millis m_store_history{20'000};
+  // Further TOML for each VM's settings, for example "[log]\nlevel = ...".
+  std::string m_settings;
 };
 
 // A caller's request to one VM.
@@ -71,6 +73,10 @@
   // Rewrites the VM's settings and tells it with SIGHUP.
   void ReloadVm(size_t vm);
   NetAddress CallerAddress(size_t vm) const;
+  NetAddress ReadinessAddress(size_t vm) const;
+  NetAddress MetricsAddress(size_t vm) const;
+  // Where other VMs connect, and where it receives their datagrams.
+  NetAddress PeerAddress(size_t vm) const;
   int VmCount() const { return m_options.m_vms; }
   int EngineCount() const { return m_options.m_engines; }
 
