--- a/tests/hostile/raw_socket.h
+++ b/tests/hostile/raw_socket.h
@@ -16,6 +16,12 @@
                     std::string_view bytes,
                     Millis timeout);
 
+// The same without ending the sending side, for a server that takes its end for
+// a caller that has left.
+std::string CallRaw(const NetAddress& server,
+                    std::string_view bytes,
+                    Millis timeout);
+
 }  // namespace bronzecross
 
 #endif  // BRONZECROSS_TESTS_HOSTILE_RAW_SOCKET_H_
