Bound the number of accepted connections

A listener with a ConnectionTable closes the connection that has been idle or incomplete for the longest time when the table is full or the process has no descriptor left. Before, a full process left connections in the backlog until the next one arrived. Nothing uses a table yet. Run: aio_test.

--- a/packages/aio/tcp_listener.cc
+++ b/packages/aio/tcp_listener.cc
@@ -12,7 +12,8 @@
 
 Result<std::unique_ptr<TcpListener>> TcpListener::Open(
     const NetAddress& address,
-    Acceptor acceptor) {
+    Acceptor acceptor,
+    ConnectionTable* table) {
   NetAddress bound;
   const Result<int> fd = ListenTcp(address, bound);
   if (!fd) {
@@ -21,34 +22,53 @@
   const int flags = fcntl(*fd, F_GETFL, 0);
   fcntl(*fd, F_SETFL, flags | O_NONBLOCK);
   return std::unique_ptr<TcpListener>(
-      new TcpListener(*fd, bound, std::move(acceptor)));
+      new TcpListener(*fd, bound, std::move(acceptor), table));
 }
 
-TcpListener::TcpListener(int fd, NetAddress address, Acceptor acceptor)
+TcpListener::TcpListener(int fd,
+                         NetAddress address,
+                         Acceptor acceptor,
+                         ConnectionTable* table)
     : m_fd(fd),
       m_id(EventLoop::Current().Add(fd, *this)),
       m_address(std::move(address)),
-      m_acceptor(std::move(acceptor)) {}
+      m_acceptor(std::move(acceptor)),
+      m_table(table) {}
 
 TcpListener::~TcpListener() {
   EventLoop::Current().Remove(m_fd, m_id);
   close(m_fd);
 }
 
+bool TcpListener::MayRetry(int error) {
+  if (error == EINTR || error == ECONNABORTED) {
+    return true;
+  }
+  // The connections that wait to be accepted cause no further event, so room
+  // for them is made now.
+  return (error == EMFILE || error == ENFILE) && m_table != nullptr &&
+         m_table->CloseOldest();
+}
+
 void TcpListener::OnReady(IoReadiness) {
   for (;;) {
     const int fd =
         accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0 && m_table != nullptr && !m_table->MakeRoom()) {
+      close(fd);
+      continue;
+    }
     if (fd >= 0) {
       m_acceptor(std::make_unique<TcpStream>(fd));
       continue;
     }
-    if (errno == EINTR || errno == ECONNABORTED) {
+    const int error = errno;
+    if (MayRetry(error)) {
       continue;
     }
-    if (errno != EAGAIN) {
+    if (error != EAGAIN) {
       Log(Severity::kError, LogPart::kHttp, "Cannot accept a connection.",
-          {{"errno", errno}});
+          {{"errno", error}});
     }
     return;
   }
--- a/packages/aio/tcp_listener.h
+++ b/packages/aio/tcp_listener.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include "aio/connection_table.h"
 #include "aio/event_loop.h"
 #include "aio/tcp_stream.h"
 #include "base/net_address.h"
@@ -16,9 +17,13 @@
  public:
   using Acceptor = std::function<void(std::unique_ptr<TcpStream>)>;
 
-  // Listens on `address` and calls `acceptor` for each new connection.
-  static Result<std::unique_ptr<TcpListener>> Open(const NetAddress& address,
-                                                   Acceptor acceptor);
+  // Listens on `address` and calls `acceptor` for each new connection for which
+  // `table` has room; a null table bounds nothing and otherwise must outlive
+  // the listener.
+  static Result<std::unique_ptr<TcpListener>> Open(
+      const NetAddress& address,
+      Acceptor acceptor,
+      ConnectionTable* table = nullptr);
   ~TcpListener() override;
 
   // Accepts all established connections in the backlog. Call it before
@@ -35,12 +40,18 @@
   void OnReady(IoReadiness readiness) override;
 
  private:
-  TcpListener(int fd, NetAddress address, Acceptor acceptor);
+  TcpListener(int fd,
+              NetAddress address,
+              Acceptor acceptor,
+              ConnectionTable* table);
+  // Returns whether accept() may be called again after it failed with `error`.
+  bool MayRetry(int error);
 
   int m_fd;
   uint64_t m_id;
   NetAddress m_address;
   Acceptor m_acceptor;
+  ConnectionTable* m_table;
 };
 
 }  // namespace bronzecross
--- a/packages/aio/tcp_stream.cc
+++ b/packages/aio/tcp_stream.cc
@@ -38,8 +38,23 @@
 }
 
 TcpStream::~TcpStream() {
+  if (m_fd >= 0) {
+    EventLoop::Current().Remove(m_fd, m_id);
+    close(m_fd);
+  }
+}
+
+void TcpStream::Close() {
+  if (m_fd < 0) {
+    return;
+  }
   EventLoop::Current().Remove(m_fd, m_id);
   close(m_fd);
+  m_fd = -1;
+  m_read_ready = true;
+  m_write_ready = true;
+  m_readable.NotifyAll();
+  m_writable.NotifyAll();
 }
 
 void TcpStream::OnReady(IoReadiness readiness) {
--- a/packages/aio/tcp_stream.h
+++ b/packages/aio/tcp_stream.h
@@ -56,6 +56,8 @@
   Condition& Readable() { return m_readable; }
   Condition& Writable() { return m_writable; }
 
+  // Closes the connection at once; reads and writes fail from then on.
+  void Close();
   // Makes the destructor reset the connection instead of closing it in order,
   // so that the peer cannot mistake a truncated message for a complete one.
   void SetResetOnClose();
@@ -63,7 +65,7 @@
   void OnReady(IoReadiness readiness) override;
 
  private:
-  int m_fd;
+  int m_fd;  // -1 after Close()
   uint64_t m_id;
   bool m_read_ready = true;
   bool m_write_ready = true;
