Bound what connections hold together, by bytes and by rate

ReadHead() ends once an incomplete header section is over its limit, and ReadBody() once a body is slower than its minimum rate; both let other tasks run after 16 reads without a wait. Send buffers and bodies over 64 KB are freed after use, which an idle connection kept before. A connection without bounds behaves as before.

--- a/packages/http1/http_connection.cc
+++ b/packages/http1/http_connection.cc
@@ -1,5 +1,6 @@
 #include "http1/http_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <span>
 
@@ -15,6 +16,19 @@
 // the memory for a peer that sends further messages before it gets a response.
 constexpr size_t kMaxUnparsedBytes = 65'536;
 
+// The same while the budget is short.
+constexpr size_t kMaxUnparsedBytesIfShort = 4'096;
+
+// A send buffer with a larger capacity is freed once it has been sent.
+constexpr size_t kKeptCapacity = 64 << 10;
+
+// What a connection takes beside its buffers: the socket, its tasks and the
+// entries of the event loop.
+constexpr size_t kConnectionBytes = 4'096;
+
+// Number of reads after which other tasks run.
+constexpr int kMaxReadsInTurn = 16;
+
 std::array<char, kReadBytes>& ReadBuffer() {
   static thread_local std::array<char, kReadBytes> buffer;
   return buffer;
@@ -71,11 +85,47 @@
 
 void HttpConnection::StartNextMessage() {
   m_parser.Reset();
+  m_fault = ReadFault::kNone;
+}
+
+size_t HttpConnection::HeldBytes() const {
+  return kConnectionBytes + m_parser.HeldBytes() + m_unparsed.capacity() +
+         m_out.capacity();
+}
+
+BudgetVerdict HttpConnection::CountHeld(size_t more) {
+  m_request_bytes = more;
+  return m_bounds.m_lease == nullptr
+             ? BudgetVerdict::kFits
+             : m_bounds.m_lease->Hold(HeldBytes() + more);
+}
+
+bool HttpConnection::IsInsideBounds() {
+  if (m_parser.GetState() == ParseState::kHead &&
+      m_parser.HeadBytes() > m_bounds.m_incomplete_head_bytes) {
+    m_fault = ReadFault::kHeadTooLarge;
+  } else {
+    m_fault = FaultOf(CountHeld(m_request_bytes));
+  }
+  return m_fault == ReadFault::kNone;
+}
+
+Task<> HttpConnection::YieldAfterManyReads() {
+  if (++m_reads_in_turn >= kMaxReadsInTurn) {
+    m_reads_in_turn = 0;
+    co_await YieldToLoop();
+  }
+}
+
+size_t HttpConnection::MaxUnparsedBytes() {
+  return CountHeld(m_request_bytes) == BudgetVerdict::kFits
+             ? kMaxUnparsedBytes
+             : kMaxUnparsedBytesIfShort;
 }
 
 bool HttpConnection::HasPeerClosed() {
   while (!m_failed && !m_peer_closed && m_stream->IsReadReady() &&
-         m_unparsed.size() < kMaxUnparsedBytes) {
+         m_unparsed.size() < MaxUnparsedBytes()) {
     std::array<char, kReadBytes>& buffer = ReadBuffer();
     const IoResult result = m_stream->Read(buffer);
     switch (result.m_state) {
@@ -109,6 +159,9 @@
     m_sent += result.m_bytes;
   }
   if (m_sent == m_out.size()) {
+    if (m_out.capacity() > kKeptCapacity) {
+      std::string().swap(m_out);
+    }
     m_out.clear();
     m_sent = 0;
   }
@@ -143,11 +196,15 @@
 }
 
 Task<bool> HttpConnection::ReadHead(Millis deadline) {
+  m_reads_in_turn = 0;
   while (m_parser.GetState() == ParseState::kHead) {
     const PumpState state = Pump();
     if (state == PumpState::kFailed || state == PumpState::kEnded) {
       co_return m_parser.GetState() == ParseState::kComplete;
     }
+    if (!IsInsideBounds()) {
+      co_return false;
+    }
     if (state == PumpState::kAgain) {
       const bool more = co_await WaitReadable(deadline);
       if (!more) {
@@ -159,19 +216,26 @@
 }
 
 Task<bool> HttpConnection::ReadBody(Millis deadline, size_t limit) {
+  const Millis began = MonotonicNow();
+  m_reads_in_turn = 0;
   while (m_parser.GetState() == ParseState::kBody) {
-    if (m_parser.Body().size() > limit) {
+    if (m_parser.Body().size() > limit || !IsInsideBounds()) {
       co_return false;
     }
     const PumpState state = Pump();
     if (state == PumpState::kFailed || state == PumpState::kEnded) {
       break;
     }
-    if (state == PumpState::kAgain) {
-      const bool more = co_await WaitReadable(deadline);
-      if (!more) {
-        co_return false;
-      }
+    if (state == PumpState::kProgress) {
+      co_await YieldAfterManyReads();
+      continue;
+    }
+    const Millis due =
+        BodyDeadline(m_bounds.m_body_rate, began, m_parser.Body().size());
+    const bool more = co_await WaitReadable(std::min(deadline, due));
+    if (!more) {
+      m_fault = due < deadline ? ReadFault::kTooSlow : ReadFault::kNone;
+      co_return false;
     }
   }
   co_return m_parser.GetState() ==
--- a/packages/http1/http_connection.h
+++ b/packages/http1/http_connection.h
@@ -11,6 +11,7 @@
 #include "aio/task.h"
 #include "aio/tcp_stream.h"
 #include "http1/message_parser.h"
+#include "http1/read_bounds.h"
 
 namespace bronzecross {
 
@@ -31,6 +32,17 @@
   Condition& Readable() { return m_stream->Readable(); }
   Condition& Writable() { return m_stream->Writable(); }
 
+  // Sets the bounds for further messages; their lease must outlive the
+  // connection or be replaced. By default there are none.
+  void SetBounds(const ReadBounds& bounds) { m_bounds = bounds; }
+  // Returns the bound that ended ReadHead() or ReadBody().
+  ReadFault Fault() const { return m_fault; }
+  // Returns about how much memory the connection takes.
+  size_t HeldBytes() const;
+  // Counts that, and `more` bytes that belong to its request, in the lease of
+  // the bounds.
+  BudgetVerdict CountHeld(size_t more);
+
   // Reads and parses available bytes without waiting. Stops at the end of the
   // current message; further bytes are kept until StartNextMessage().
   PumpState Pump();
@@ -64,6 +76,13 @@
 
  private:
   Task<bool> WaitReadable(Millis deadline);
+  // Returns whether what has been read is inside the bounds, and sets m_fault
+  // otherwise.
+  bool IsInsideBounds();
+  // Lets other tasks run after many reads without a wait.
+  Task<> YieldAfterManyReads();
+  // Maximum size of m_unparsed while a request is being served.
+  size_t MaxUnparsedBytes();
 
   std::unique_ptr<TcpStream> m_stream;
   MessageParser m_parser;
@@ -74,6 +93,10 @@
   size_t m_sent = 0;
   bool m_failed = false;
   bool m_peer_closed = false;
+  ReadBounds m_bounds;
+  ReadFault m_fault = ReadFault::kNone;
+  int m_reads_in_turn = 0;     // since the task last waited
+  size_t m_request_bytes = 0;  // last argument of CountHeld()
 };
 
 }  // namespace bronzecross
--- a/packages/http1/message_parser.cc
+++ b/packages/http1/message_parser.cc
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace bronzecross {
+namespace {
+
+// A buffer with a larger capacity is freed with its message. A connection that
+// had a large message would otherwise hold its memory while it is idle.
+constexpr size_t kKeptCapacity = 64 << 10;
+
+}  // namespace
 
 struct MessageParser::Impl {
   http_parser m_parser = {};
@@ -18,12 +25,17 @@
   int64_t m_content_length = -1;
   bool m_is_framed = true;
   size_t m_head_bytes = 0;
+  // Bytes of the target, the reason, and the names and values of fields.
+  size_t m_text_bytes = 0;
 
   void Start() {
     http_parser_init(&m_parser, m_type);
     m_parser.data = this;
     m_state = ParseState::kHead;
     m_head = MessageHead();
+    if (m_body.capacity() > kKeptCapacity) {
+      std::string().swap(m_body);
+    }
     m_body.clear();
     m_in_value = false;
     m_no_body = false;
@@ -31,6 +43,7 @@
     m_content_length = -1;
     m_is_framed = true;
     m_head_bytes = 0;
+    m_text_bytes = 0;
   }
 
   void OnHeadersComplete() {
@@ -69,11 +82,15 @@
     http_parser_settings s;
     http_parser_settings_init(&s);
     s.on_url = [](http_parser* p, const char* at, size_t n) {
-      static_cast<State*>(p->data)->m_head.m_target.append(at, n);
+      State& self = *static_cast<State*>(p->data);
+      self.m_text_bytes += n;
+      self.m_head.m_target.append(at, n);
       return 0;
     };
     s.on_status = [](http_parser* p, const char* at, size_t n) {
-      static_cast<State*>(p->data)->m_head.m_reason.append(at, n);
+      State& self = *static_cast<State*>(p->data);
+      self.m_text_bytes += n;
+      self.m_head.m_reason.append(at, n);
       return 0;
     };
     s.on_header_field = [](http_parser* p, const char* at, size_t n) {
@@ -85,6 +102,7 @@
         self.m_head.m_fields.emplace_back();
         self.m_in_value = false;
       }
+      self.m_text_bytes += n;
       self.m_head.m_fields.back().m_name.append(at, n);
       return 0;
     };
@@ -94,6 +112,7 @@
         return 0;
       }
       self.m_in_value = true;
+      self.m_text_bytes += n;
       self.m_head.m_fields.back().m_value.append(at, n);
       return 0;
     };
@@ -176,5 +195,11 @@
 size_t MessageParser::HeadBytes() const {
   return m_impl->m_head_bytes;
 }
+size_t MessageParser::HeldBytes() const {
+  // Strings that grow by appending have up to twice their size.
+  return 2 * m_impl->m_text_bytes +
+         m_impl->m_head.m_fields.capacity() * sizeof(HeaderField) +
+         m_impl->m_body.capacity();
+}
 
 }  // namespace bronzecross
--- a/packages/http1/message_parser.h
+++ b/packages/http1/message_parser.h
@@ -51,8 +51,11 @@
   bool IsFramed() const;
   // Returns the declared body length, or -1 if the message does not state one.
   int64_t ContentLength() const;
-  // Returns the number of bytes of the head read so far.
+  // Returns the number of bytes of the head read so far. Bytes of the body that
+  // were fed together with the end of the head are included.
   size_t HeadBytes() const;
+  // Returns about how much memory the parsed head and body take.
+  size_t HeldBytes() const;
 
  private:
   struct Impl;
