Keep a gateway alive among callers outside the limits

A crowd of callers could hold any amount of memory and descriptors: each limit was that of a single message. A gateway now counts what all connections on its ports hold in one budget (a third of the machine's memory, or [memory] budget_mb), with a share for a connection and for a workspace, and refuses with 503 and Retry-After before a request has run. Unread responses count; a stream to a slow caller pauses earlier while the budget is short. An incomplete header section may be 1 KB over its limit (431), a body must arrive at a minimum rate (408), and beyond the bound on connections the oldest idle or incomplete one is closed. ServeProbes() moves to a file of its own, as does the count of buffered responses. The check of HeadBytes() against both limits together is replaced: it rejected small bodies in very small chunks once the limits were low.

--- a/packages/aio/aio_test.cc
+++ b/packages/aio/aio_test.cc
@@ -2,10 +2,13 @@
 
 #include <unistd.h>
 
+#include <array>
 #include <new>
 #include <string>
+#include <vector>
 
 #include "aio/cancellation.h"
+#include "aio/connection_table.h"
 #include "aio/datagram_socket.h"
 #include "aio/event_loop.h"
 #include "aio/task.h"
@@ -184,5 +187,73 @@
   CHECK(received == "news");
 }
 
+// Serves nothing until the peer closes or the table closes the connection.
+Task<> HoldConnection(ConnectionTable& table,
+                      std::unique_ptr<TcpStream> stream,
+                      bool closable) {
+  ConnectionTable::Entry entry(table, *stream);
+  entry.SetClosable(closable);
+  std::array<char, 64> buffer;
+  for (;;) {
+    const IoResult result = stream->Read(buffer);
+    if (result.m_state != IoState::kAgain) {
+      co_return;
+    }
+    WaitAny wait(kNever);
+    wait.Add(stream->Readable());
+    co_await wait;
+  }
+}
+
+Task<> OpenConnections(EventLoop& loop,
+                       NetAddress address,
+                       std::vector<std::unique_ptr<TcpStream>>& opened,
+                       size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    opened.push_back(
+        co_await TcpStream::Connect(address, MonotonicNow() + Millis(2'000)));
+    co_await Sleep(Millis(20));
+  }
+  loop.Stop();
+}
+
+bool IsOpen(TcpStream& stream) {
+  std::array<char, 64> buffer;
+  return stream.Read(buffer).m_state == IoState::kAgain;
+}
+
+// Guards against idle connections that shut out new ones, and against the loss
+// of connections that are being served.
+TEST_CASE("a full table closes the oldest idle connection, or the new one") {
+  EventLoop loop;
+  int closed = 0;
+  ConnectionTable table(3, [&] { ++closed; });
+  int accepted = 0;
+  const Result<std::unique_ptr<TcpListener>> listener = TcpListener::Open(
+      kAnyPort,
+      [&](std::unique_ptr<TcpStream> stream) {
+        // The first connection is being served, as are all after the fifth.
+        ++accepted;
+        SpawnIsolated(HoldConnection(table, std::move(stream),
+                                     accepted > 1 && accepted < 6));
+      },
+      &table);
+  REQUIRE(listener);
+  std::vector<std::unique_ptr<TcpStream>> opened;
+  Spawn(OpenConnections(loop, (*listener)->GetAddress(), opened, 8));
+  loop.Run();
+  // Four to seven replaced the second to the fifth; there was no room for the
+  // last.
+  CHECK(accepted == 7);
+  CHECK(closed == 5);
+  CHECK(table.Size() == 3);
+  const bool expected[] = {true, false, false, false, false, true, true, false};
+  for (size_t i = 0; i < opened.size(); ++i) {
+    CAPTURE(i);
+    REQUIRE(opened[i] != nullptr);
+    CHECK(IsOpen(*opened[i]) == expected[i]);
+  }
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -29,12 +29,15 @@
 // so that its first request can arrive.
 constexpr Millis kFirstRequestTimeout{500};
 
-// Returns the limits of the current configuration, or the defaults until the
-// first configuration has been read.
-const CallerLimits& GetLimits(const Node& node) {
-  static const CallerLimits kDefaults;
-  return node.m_config == nullptr ? kDefaults : node.m_config->m_limits;
-}
+// An incomplete header section may exceed the limit by this, since the limit
+// doesn't count the method, the version, line ends and optional white space.
+constexpr size_t kHeaderSlack = 1'024;
+
+// Retry-After time for requests for which there is no memory.
+constexpr Millis kNoMemoryRetryAfter{500};
+
+// Group of the memory budget for callers without a workspace.
+constexpr std::string_view kAnonymousGroup;
 
 // A request waits for a rate token for at most its latency target divided by
 // this. A rejection within that time leaves the caller time for one retry.
@@ -45,13 +48,66 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
+constexpr int kNoMemory = 503;
 
 CallerReply MakeStatusReply(int status) {
   CallerReply reply;
   reply.m_status = status;
+  if (status == kNoMemory) {
+    reply.m_retry_after = kNoMemoryRetryAfter;
+  }
   return reply;
 }
 
+// Returns the status for a request that can't be read. All are sent before the
+// request has run.
+int StatusOfFault(ReadFault fault, ParseState state) {
+  switch (fault) {
+    case ReadFault::kHeadTooLarge:
+      return kHeadTooLarge;
+    case ReadFault::kConnectionFull:
+      return kBodyTooLarge;
+    case ReadFault::kShareFull:
+    case ReadFault::kBudgetFull:
+      return kNoMemory;
+    case ReadFault::kTooSlow:
+      return kRequestTimeout;
+    case ReadFault::kNone:
+      break;
+  }
+  return state == ParseState::kFailed ? kBadRequest : kRequestTimeout;
+}
+
+ReadBounds MakeReadBounds(const Node& node, BudgetLease& lease) {
+  ReadBounds bounds;
+  bounds.m_lease = &lease;
+  bounds.m_incomplete_head_bytes = node.Limits().m_header_bytes + kHeaderSlack;
+  bounds.m_body_rate = {node.m_settings.m_min_body_bytes_per_s,
+                        node.m_settings.m_body_grace};
+  return bounds;
+}
+
+// Counts the body toward the share of the caller's workspace.
+void JoinWorkspace(const Node& node, IncomingRequest& request) {
+  const Workspace* workspace =
+      node.m_config == nullptr
+          ? nullptr
+          : FindWorkspaceByKey(*node.m_config, request.m_fields.m_key);
+  request.m_lease->JoinGroup(workspace == nullptr
+                                 ? kAnonymousGroup
+                                 : std::string_view(workspace->m_name));
+}
+
+// Returns about how much memory a request takes that has been read. The body
+// counts twice: it is copied to the send buffer of the upstream.
+size_t HeldByRequest(const IncomingRequest& request) {
+  size_t head = request.m_head.m_target.size();
+  for (const HeaderField& field : request.m_head.m_fields) {
+    head += sizeof(field) + field.m_name.size() + field.m_value.size();
+  }
+  return head + request.m_body.capacity() + request.m_body.size();
+}
+
 Error MakeError(ResultCode code, std::string_view message, Millis retry_after) {
   Error error;
   error.m_code = code;
@@ -89,7 +145,7 @@
 // be closed: the caller closed it, or it was idle for too long.
 Task<bool> WaitForRequest(Node& node, HttpConnection& caller) {
   const Millis began = MonotonicNow();
-  const Millis idle_until = began + GetLimits(node).m_idle_timeout;
+  const Millis idle_until = began + node.Limits().m_idle_timeout;
   for (;;) {
     if (caller.Parser().HeadBytes() > 0 ||
         caller.Parser().GetState() != ParseState::kHead) {
@@ -122,21 +178,16 @@
 Task<int> ReadRequest(Node& node,
                       HttpConnection& caller,
                       IncomingRequest& request) {
-  const CallerLimits limits = GetLimits(node);
+  const CallerLimits limits = node.Limits();
   const Millis head_deadline = MonotonicNow() + limits.m_header_timeout;
   const bool has_head = co_await caller.ReadHead(head_deadline);
-  if (caller.Parser().HeadBytes() >
-      limits.m_header_bytes + limits.m_body_bytes) {
-    co_return kHeadTooLarge;
-  }
   if (!has_head) {
-    co_return caller.Parser().GetState() == ParseState::kFailed
-        ? kBadRequest
-        : kRequestTimeout;
+    co_return StatusOfFault(caller.Fault(), caller.Parser().GetState());
   }
   request.m_arrived = MonotonicNow();
   request.m_head = caller.Parser().GetHead();
   request.m_fields = platform::DecodeCallerFields(request.m_head);
+  JoinWorkspace(node, request);
   size_t head_bytes = 0;
   for (const HeaderField& field : request.m_head.m_fields) {
     head_bytes += field.m_name.size() + field.m_value.size() + 4;
@@ -159,13 +210,17 @@
       co_await caller.ReadBody(body_deadline, limits.m_body_bytes);
   if (has_body) {
     request.m_body = std::move(caller.Parser().Body());
-    co_return 0;
+    request.m_held_bytes = HeldByRequest(request);
+    const ReadFault fault = FaultOf(caller.CountHeld(request.m_held_bytes));
+    node.CountRefusal(fault);
+    co_return fault == ReadFault::kNone
+        ? 0
+        : StatusOfFault(fault, caller.Parser().GetState());
   }
   if (caller.Parser().Body().size() > limits.m_body_bytes) {
     co_return kBodyTooLarge;
   }
-  co_return caller.Parser().GetState() == ParseState::kFailed ? kBadRequest
-                                                              : kRequestTimeout;
+  co_return StatusOfFault(caller.Fault(), caller.Parser().GetState());
 }
 
 // Sets the configuration, route and workspace of a request. Fails with
@@ -261,25 +316,41 @@
 
 Task<> ServeCaller(Node& node, std::unique_ptr<TcpStream> stream) {
   const ScopedCount counted(node.m_caller_connections);
+  BudgetLease lease(node.m_budget);
   HttpConnection caller(std::move(stream), MessageKind::kRequest);
+  ConnectionTable::Entry entry(node.m_caller_table, caller.Stream());
   for (;;) {
+    lease.LeaveGroup();
+    caller.SetBounds(MakeReadBounds(node, lease));
+    caller.CountHeld(0);
+    entry.SetClosable(true);
     const bool has_request = co_await WaitForRequest(node, caller);
     if (!has_request) {
       co_return;
     }
     const ScopedCount in_progress(node.m_requests_in_progress);
     IncomingRequest request;
+    request.m_lease = &lease;
     const int rejection_status = co_await ReadRequest(node, caller, request);
     if (rejection_status != 0) {
+      node.CountRefusal(caller.Fault());
+      // Frees what was read before the response is sent.
+      caller.StartNextMessage();
+      caller.CountHeld(0);
       caller.Queue(MakeStatusReply(rejection_status).Serialize(false));
       co_await caller.FlushAll(MonotonicNow() + kSendTimeout);
       co_return;
     }
+    entry.SetClosable(false);
     const bool keep_alive = caller.Parser().MayKeepAlive();
     const bool has_response = co_await ServeRequest(node, caller, request);
     if (!has_response) {
       co_return;
     }
+    // While the response is sent, the request is no longer needed.
+    std::string().swap(request.m_body);
+    caller.CountHeld(0);
+    entry.SetClosable(true);
     const bool sent = co_await caller.FlushAll(MonotonicNow() + kSendTimeout);
     if (!sent || !keep_alive || node.m_draining_since != Millis()) {
       co_return;
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -53,37 +53,6 @@
 constexpr Millis kReleaseTimeout{700};
 constexpr Millis kExitMargin{1'000};
 
-// Maximum time for each read and write of a readiness check or metrics request.
-constexpr Millis kProbeTimeout{5'000};
-
-// Returns the response to a readiness check or metrics request.
-using ProbeHandler = std::function<CallerReply()>;
-
-// Serves a connection on which `handler` responds to every request, whatever
-// its target.
-Task<> ServeProbes(std::unique_ptr<TcpStream> stream, ProbeHandler handler) {
-  HttpConnection client(std::move(stream), MessageKind::kRequest);
-  for (;;) {
-    const bool has_head =
-        co_await client.ReadHead(MonotonicNow() + kProbeTimeout);
-    if (!has_head) {
-      co_return;
-    }
-    const bool has_body =
-        co_await client.ReadBody(MonotonicNow() + kProbeTimeout, 0);
-    if (!has_body) {
-      co_return;
-    }
-    const bool keep = client.Parser().MayKeepAlive();
-    client.Queue(handler().Serialize(keep));
-    const bool sent = co_await client.FlushAll(MonotonicNow() + kProbeTimeout);
-    if (!sent || !keep) {
-      co_return;
-    }
-    client.StartNextMessage();
-  }
-}
-
 // Delivers signals through a descriptor that the event loop polls.
 class SignalSource : public IoTarget {
  public:
@@ -166,9 +135,10 @@
 Gateway::~Gateway() = default;
 
 Status Gateway::AddListener(const NetAddress& address,
-                            TcpListener::Acceptor acceptor) {
+                            TcpListener::Acceptor acceptor,
+                            ConnectionTable& table) {
   Result<std::unique_ptr<TcpListener>> listener =
-      TcpListener::Open(address, std::move(acceptor));
+      TcpListener::Open(address, std::move(acceptor), &table);
   if (!listener) {
     return tl::unexpected<Error>(listener.error());
   }
@@ -176,6 +146,17 @@
   return {};
 }
 
+Status Gateway::AddProbes(const NetAddress& address,
+                          const ProbeHandler& handler,
+                          ConnectionTable& table) {
+  return AddListener(
+      address,
+      [this, handler, &table](std::unique_ptr<TcpStream> stream) {
+        SpawnIsolated(ServeProbes(m_node, table, std::move(stream), handler));
+      },
+      table);
+}
+
 Status Gateway::Listen() {
   const GatewaySettings& settings = m_node.m_settings;
   const TcpListener::Acceptor peers =
@@ -187,7 +168,11 @@
     reply.m_status = m_node.IsReady() ? 200 : 503;
     return reply;
   };
-  const ProbeHandler metrics = [] {
+  const ProbeHandler metrics = [this] {
+    SetGauge("bronzecross_held_bytes", {},
+             static_cast<double>(m_node.m_budget.HeldBytes()));
+    SetGauge("bronzecross_caller_connections", {},
+             static_cast<double>(m_node.m_caller_table.Size()));
     CallerReply reply;
     reply.m_content_type = "text/plain; version=0.0.4";
     reply.m_body = SerializeMetrics();
@@ -195,30 +180,27 @@
   };
   Status opened = m_gossip.Open();
   if (opened) {
-    opened = AddListener(settings.m_peers, peers);
+    opened = AddListener(settings.m_peers, peers, m_node.m_peer_table);
   }
   if (opened) {
-    opened = AddListener(settings.m_bootstrap, peers);
+    opened = AddListener(settings.m_bootstrap, peers, m_node.m_peer_table);
   }
   if (opened) {
-    opened = AddListener(
-        settings.m_readiness, [readiness](std::unique_ptr<TcpStream> stream) {
-          SpawnIsolated(ServeProbes(std::move(stream), readiness));
-        });
+    opened =
+        AddProbes(settings.m_readiness, readiness, m_node.m_readiness_table);
   }
   if (opened) {
-    opened = AddListener(
-        settings.m_metrics, [metrics](std::unique_ptr<TcpStream> stream) {
-          SpawnIsolated(ServeProbes(std::move(stream), metrics));
-        });
+    opened = AddProbes(settings.m_metrics, metrics, m_node.m_metrics_table);
   }
   if (!opened) {
     return opened;
   }
   Result<std::unique_ptr<TcpListener>> callers = TcpListener::Open(
-      settings.m_callers, [this](std::unique_ptr<TcpStream> stream) {
+      settings.m_callers,
+      [this](std::unique_ptr<TcpStream> stream) {
         SpawnIsolated(ServeCaller(m_node, std::move(stream)));
-      });
+      },
+      &m_node.m_caller_table);
   if (!callers) {
     return tl::unexpected<Error>(callers.error());
   }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/gossip_exchange.h"
 #include "gateway/node.h"
 #include "gateway/peer_calls.h"
+#include "gateway/probe_server.h"
 #include "jobs/job_service.h"
 #include "kv/prefix_follower.h"
 
@@ -31,7 +32,12 @@
 
  private:
   Status Listen();
-  Status AddListener(const NetAddress& address, TcpListener::Acceptor acceptor);
+  Status AddListener(const NetAddress& address,
+                     TcpListener::Acceptor acceptor,
+                     ConnectionTable& table);
+  Status AddProbes(const NetAddress& address,
+                   const ProbeHandler& handler,
+                   ConnectionTable& table);
   void StartTasks();
   // Return the handlers for the operator's keys (the configuration and requests
   // to empty a disk), for the list of upstreams and for the list of VMs.
--- a/packages/gateway/incoming_request.h
+++ b/packages/gateway/incoming_request.h
@@ -23,6 +23,10 @@
   FleetConfigPtr m_config;
   const Route* m_route = nullptr;
   const Workspace* m_workspace = nullptr;  // null on public routes
+  // What the caller's connection holds of the memory budget.
+  BudgetLease* m_lease = nullptr;
+  // About how much memory the head and the body take.
+  size_t m_held_bytes = 0;
 
   // The response to a HEAD request has the header fields of a body, but no
   // body.
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -3,6 +3,7 @@
 #include "aio/wait.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "base/text.h"
 #include "dispatch/pick_upstream.h"
 #include "gateway/gossip_exchange.h"
 #include "jobs/job_service.h"
@@ -26,10 +27,26 @@
   return record;
 }
 
+BudgetLimits MakeLimits(const GatewaySettings& settings,
+                        const MachineLimits& machine,
+                        const CallerLimits& limits) {
+  return MakeBudgetLimits(MakeBudgetBytes(settings, machine),
+                          limits.m_body_bytes, limits.m_header_bytes);
+}
+
 }  // namespace
 
 Node::Node(GatewaySettings settings)
     : m_settings(std::move(settings)),
+      m_connection_bounds(MakeConnectionBounds(m_settings, m_machine)),
+      m_budget(MakeLimits(m_settings, m_machine, CallerLimits())),
+      m_caller_table(m_connection_bounds.m_callers,
+                     ConnectionCloser("callers")),
+      m_peer_table(m_connection_bounds.m_peers, ConnectionCloser("peers")),
+      m_readiness_table(m_connection_bounds.m_probes,
+                        ConnectionCloser("readiness")),
+      m_metrics_table(m_connection_bounds.m_probes,
+                      ConnectionCloser("metrics")),
       m_kv(m_settings.m_store, m_settings.m_store_history),
       m_cluster(MakeVmRecord(m_settings)),
       m_registration(m_kv, m_cluster.Self()),
@@ -38,6 +55,23 @@
 
 Node::~Node() = default;
 
+std::function<void()> Node::ConnectionCloser(std::string_view listener) {
+  return [this, reason = Concat("connections_", listener)] {
+    m_refusals.Count(reason, MonotonicNow());
+  };
+}
+
+const CallerLimits& Node::Limits() const {
+  static const CallerLimits kDefaults;
+  return m_config == nullptr ? kDefaults : m_config->m_limits;
+}
+
+void Node::CountRefusal(ReadFault fault) {
+  if (fault != ReadFault::kNone) {
+    m_refusals.Count(ReadFaultName(fault), MonotonicNow());
+  }
+}
+
 SlotQueue& Node::QueueOf(std::string_view service) {
   const auto found = m_queues.find(service);
   if (found != m_queues.end()) {
@@ -70,6 +104,7 @@
        {"routes", config->m_routes.size()},
        {"workspaces", config->m_workspaces.size()}});
   m_config = std::move(config);
+  m_budget.SetLimits(MakeLimits(m_settings, m_machine, m_config->m_limits));
   m_configured.NotifyAll();
 }
 
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -4,11 +4,13 @@
 #ifndef BRONZECROSS_GATEWAY_NODE_H_
 #define BRONZECROSS_GATEWAY_NODE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "aio/connection_table.h"
 #include "cluster/cluster_view.h"
 #include "cluster/vm_registration.h"
 #include "dispatch/crashing_part_tracker.h"
@@ -17,6 +19,9 @@
 #include "dispatch/upstream_table.h"
 #include "fleet/fleet_config.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/process_bounds.h"
+#include "gateway/refusal_log.h"
+#include "http1/memory_budget.h"
 #include "kv/kv_session.h"
 #include "quota/quota_manager.h"
 
@@ -49,10 +54,27 @@
   // 400 ms after the start, so that a VM that can't reach the store rejects
   // requests without further delay.
   Task<> WaitUntilConfigured();
+  // Returns the limits of the current configuration, or the defaults until the
+  // first configuration has been read.
+  const CallerLimits& Limits() const;
+  // Returns what counts the connections that `listener` closes to make room.
+  std::function<void()> ConnectionCloser(std::string_view listener);
+  // Counts a request that was refused because of a bound, if one was.
+  void CountRefusal(ReadFault fault);
   // Returns whether the load balancer may send callers to this VM.
   bool IsReady() const;
 
   GatewaySettings m_settings;
+  const MachineLimits m_machine = ReadMachineLimits();
+  const ConnectionBounds m_connection_bounds;
+  RefusalLog m_refusals;
+  // What this VM holds for connections on its listening ports, and these
+  // connections by listener.
+  MemoryBudget m_budget;
+  ConnectionTable m_caller_table;
+  ConnectionTable m_peer_table;
+  ConnectionTable m_readiness_table;
+  ConnectionTable m_metrics_table;
   KvSession m_kv;
   ClusterView m_cluster;
   VmRegistration m_registration;
@@ -80,7 +102,7 @@
   Condition m_drain_started;
   int m_caller_connections = 0;  // open connections of callers
   int m_requests_in_progress = 0;
-  // Size of the responses that are read before they are relayed.
+  // Size of the large responses that are read before they are relayed.
   size_t m_buffered_bytes = 0;
 };
 
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -6,6 +6,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "gateway/buffered_response.h"
 #include "gateway/gossip_exchange.h"
 #include "http1/write_message.h"
 
@@ -16,19 +17,6 @@
 // rejected.
 constexpr int kMaxRejections = 6;
 
-// Maximum size of a response that isn't streamed. It is read completely before
-// it is relayed, so that a broken response can still be followed by another
-// attempt or an error response.
-constexpr size_t kMaxBufferedBytes = 4 << 20;
-
-// Maximum size of all responses together that this VM reads before it relays
-// them. Many large responses at once would take more memory than the smallest
-// VMs have.
-constexpr size_t kMaxTotalBufferedBytes = 32 << 20;
-
-// Responses up to this size don't count toward kMaxTotalBufferedBytes.
-constexpr size_t kUncountedBytes = 64 << 10;
-
 // Maximum size of one event of a stream. Bytes that never end an event would
 // otherwise be collected until the deadline.
 constexpr size_t kMaxEventBytes = 256 << 10;
@@ -37,6 +25,9 @@
 // upstream pauses.
 constexpr size_t kMaxQueuedBytes = 256 << 10;
 
+// The same while the memory budget is short.
+constexpr size_t kMaxQueuedBytesIfShort = 16 << 10;
+
 // A request that may be repeated is sent to another upstream if there is no
 // response within this many times its latency target.
 constexpr int64_t kUnresponsiveFactor = 3;
@@ -71,28 +62,6 @@
   return "";
 }
 
-// Counts the bytes of one buffered response in the total of the VM.
-class BufferedBytes {
- public:
-  explicit BufferedBytes(size_t& total) : m_total(total) {}
-  ~BufferedBytes() { m_total -= m_counted; }
-  BufferedBytes(const BufferedBytes&) = delete;
-  BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-  // Returns whether a response of `bytes` may be kept in memory.
-  bool Update(size_t bytes) {
-    const size_t counted = bytes > kUncountedBytes ? bytes : 0;
-    m_total += counted - m_counted;
-    m_counted = counted;
-    return bytes <= kMaxBufferedBytes &&
-           (counted == 0 || m_total <= kMaxTotalBufferedBytes);
-  }
-
- private:
-  size_t& m_total;
-  size_t m_counted = 0;
-};
-
 // An upstream whose port still accepts connections within this time runs, so
 // that a broken response isn't its crash.
 constexpr Millis kCrashCheckTimeout{350};
@@ -319,14 +288,23 @@
     UpstreamCall& call,
     const UpstreamPtr& upstream) {
   std::string body;
-  BufferedBytes buffered(m_node.m_buffered_bytes);
+  BufferedResponse buffered(m_node.m_buffered_bytes, *m_request.m_lease);
   while (!call.IsComplete()) {
     CallState state =
         co_await call.ReadBody(body, m_deadline + kDeadlineSlack, nullptr);
     if (state == CallState::kCancelled) {
       co_return AttemptResult::kCallerLeft;
     }
-    if (state == CallState::kResponded && !buffered.Update(body.size())) {
+    const BufferedResponse::Verdict verdict =
+        buffered.Update(body.size(), body.capacity());
+    if (state == CallState::kResponded &&
+        verdict == BufferedResponse::Verdict::kNoMemory) {
+      // The upstream isn't to blame, and neither is the request.
+      m_node.CountRefusal(ReadFault::kBudgetFull);
+      co_return AttemptResult::kFailed;
+    }
+    if (state == CallState::kResponded &&
+        verdict == BufferedResponse::Verdict::kTooLarge) {
       call.MarkBroken();
       state = CallState::kBroken;
     }
@@ -482,7 +460,11 @@
       co_return MayRunAgain() ? AttemptResult::kTryAnother
                               : AttemptResult::kFailed;
     }
-    if (m_caller.QueuedBytes() > kMaxQueuedBytes) {
+    const size_t max_queued =
+        m_caller.CountHeld(m_request.m_held_bytes) == BudgetVerdict::kFits
+            ? kMaxQueuedBytes
+            : kMaxQueuedBytesIfShort;
+    if (m_caller.QueuedBytes() > max_queued) {
       const bool sent = co_await m_caller.FlushAll(deadline);
       if (!sent) {
         co_return AttemptResult::kCallerLeft;
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -31,6 +31,12 @@
 
 constexpr size_t kMaxBodyBytes = 8 << 20;
 
+// Maximum size of the header section of a call.
+constexpr size_t kMaxHeaderBytes = 32 << 10;
+
+// Calls of other VMs share one group of the memory budget.
+constexpr std::string_view kPeerGroup = "\npeers";
+
 MessageHead MakeHead(int status) {
   MessageHead head;
   head.m_status = status;
@@ -144,20 +150,35 @@
   QueueReply(peer, MakeHead(200), list.dump());
 }
 
+// Reads one call. Returns false if the connection should be closed.
+Task<bool> ReadCall(HttpConnection& peer) {
+  const bool has_head = co_await peer.ReadHead(MonotonicNow() + kIdleTimeout);
+  if (!has_head) {
+    co_return false;
+  }
+  co_return co_await peer.ReadBody(MonotonicNow() + kTransferTimeout,
+                                   kMaxBodyBytes);
+}
+
 }  // namespace
 
 Task<> ServePeer(Node& node, std::unique_ptr<TcpStream> stream) {
+  BudgetLease lease(node.m_budget);
+  lease.JoinGroup(kPeerGroup);
   HttpConnection peer(std::move(stream), MessageKind::kRequest);
+  ConnectionTable::Entry entry(node.m_peer_table, peer.Stream());
+  ReadBounds bounds;
+  bounds.m_lease = &lease;
+  bounds.m_incomplete_head_bytes = kMaxHeaderBytes;
+  peer.SetBounds(bounds);
   for (;;) {
-    const bool has_head = co_await peer.ReadHead(MonotonicNow() + kIdleTimeout);
-    if (!has_head) {
-      co_return;
-    }
-    const bool has_body = co_await peer.ReadBody(
-        MonotonicNow() + kTransferTimeout, kMaxBodyBytes);
-    if (!has_body) {
+    entry.SetClosable(true);
+    const bool has_call = co_await ReadCall(peer);
+    if (!has_call) {
+      node.CountRefusal(peer.Fault());
       co_return;
     }
+    entry.SetClosable(false);
     const std::string target = peer.Parser().GetHead().m_target;
     if (target == kPeerStorePath) {
       co_await HandleStoreCall(node, peer);
@@ -173,6 +194,7 @@
       QueueReply(peer, MakeHead(404), "");
     }
     const bool keep = peer.Parser().MayKeepAlive();
+    peer.CountHeld(0);
     const bool sent = co_await peer.FlushAll(MonotonicNow() + kTransferTimeout);
     if (!sent || !keep) {
       co_return;
--- a/tests/integration/caller_limits_test.cc
+++ b/tests/integration/caller_limits_test.cc
@@ -3,8 +3,15 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+
 #include "base/text.h"
 #include "harness/gateway_cluster.h"
+#include "harness/hostile_crowd.h"
 #include "hostile/raw_socket.h"
 
 namespace bronzecross {
@@ -16,6 +23,14 @@
 
 constexpr Millis kTimeout{8'000};
 
+GatewayClusterOptions OneVm(std::string_view settings) {
+  GatewayClusterOptions options;
+  options.m_vms = 1;
+  options.m_engines = 1;
+  options.m_settings = std::string(settings);
+  return options;
+}
+
 // Returns a request whose header section, from the request line to the empty
 // line, has `head_bytes` bytes.
 std::string RequestWithHead(size_t head_bytes) {
@@ -53,11 +68,7 @@
   for (const std::string_view settings :
        {"", "[memory]\nbudget_mb = 8\n", "[memory]\nmachine_mb = 120\n"}) {
     CAPTURE(settings);
-    GatewayClusterOptions options;
-    options.m_vms = 1;
-    options.m_engines = 1;
-    options.m_settings = std::string(settings);
-    GatewayCluster cluster(options);
+    GatewayCluster cluster(OneVm(settings));
     const NetAddress callers = cluster.CallerAddress(0);
     const std::string body(kMaxBodyBytes, 'b');
     const std::string length = Concat("Content-Length: ", kMaxBodyBytes);
@@ -87,5 +98,48 @@
   }
 }
 
+// Guards against a caller that keeps a connection and its memory with a byte
+// now and then. The refusal says that the request hasn't run.
+TEST_CASE("a body slower than the minimum rate is refused") {
+  GatewayCluster cluster(OneVm("[callers]\nbody_grace_ms = 300\n"));
+  const Result<int> fd = ConnectTcp(cluster.CallerAddress(0), kTimeout);
+  REQUIRE(fd);
+  REQUIRE(SendAll(*fd, RequestWithBody("Content-Length: 1000", "")));
+  std::array<char, 256> buffer;
+  ssize_t count = -1;
+  for (int sent = 0; sent < 200 && count < 0; ++sent) {
+    SendAll(*fd, "x");
+    SleepFor(Millis(20));
+    count = recv(*fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  }
+  REQUIRE(count > 0);
+  CHECK(std::string_view(buffer.data(), static_cast<size_t>(count))
+            .starts_with("HTTP/1.1 408"));
+  close(*fd);
+  CHECK(cluster.Engine(0).Runs().empty());
+}
+
+// Guards against refusals for lack of memory of requests that have run, and of
+// small requests while others hold their share of the memory.
+TEST_CASE("while large bodies fill the memory, only large ones are refused") {
+  GatewayCluster cluster(OneVm("[memory]\nbudget_mb = 8\n"));
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  HostileCrowd crowd(cluster.CallerAddress(0), cluster.Vm(0).Pid(), 30);
+  crowd.Send(
+      {"stalled bodies", RequestWithBody("Transfer-Encoding: chunked", ""),
+       chunk, kMaxBodyBytes * 9 / 10},
+      Millis(700));
+  const std::string large =
+      CallRaw(cluster.CallerAddress(0),
+              RequestWithBody(Concat("Content-Length: ", kMaxBodyBytes),
+                              std::string(kMaxBodyBytes, 'b')),
+              kTimeout);
+  // The connection may be reset before the refusal has been read.
+  CHECK((large.empty() || large.starts_with("HTTP/1.1 503")));
+  CHECK(cluster.Engine(0).Runs().empty());
+  CHECK(CallRaw(cluster.CallerAddress(0), RequestWithHead(1'000), kTimeout)
+            .starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace bronzecross
