--- a/packages/config/settings.cc
+++ b/packages/config/settings.cc
@@ -78,6 +78,7 @@
   out.m_max_header_bytes =
       table.GetInt("max_header_bytes", 16 * 1024, 4096, kMiB);
   out.m_max_connections = table.GetInt("max_connections", 4000, 1, 100'000);
+  out.m_http_budget_bytes = table.GetInt("budget_mb", 0, 0, kMiB) * kMiB;
   out.m_idle_timeout =
       GetMillis(table, "idle_timeout_ms", 60'000, 1000, 3'600'000);
   table.Finish();
--- a/packages/config/settings.h
+++ b/packages/config/settings.h
@@ -58,6 +58,9 @@
   int64_t m_max_file_bytes = 0;
   int64_t m_max_header_bytes = 0;
   int64_t m_max_connections = 0;
+  // Bytes of request bodies that are held at the same time; 0: derived from the
+  // machine's memory.
+  int64_t m_http_budget_bytes = 0;
   Millis m_idle_timeout;
 
   // [online]
