Keep the daemon alive among callers outside the limits

Only the body of a single request was bounded, and idle connections held all places for as long as the idle timeout. The daemon now counts the request bodies that it holds (a third of the machine's memory, or [http] budget_mb), refuses with 503 and Retry-After, as not run, and closes the oldest connection without a complete request once seven eighths of max_connections are open. Buffers from 128 KB on go back to the system when they are freed: without that, the arenas of 100 threads kept 55 MB with a budget of 8 MB.

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -6,11 +6,14 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <bit>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include "base/log.h"
+#include "base/metrics.h"
+#include "http/body_budget.h"
 #include "http/http_error_reply.h"
 
 namespace bronzecross {
@@ -26,16 +29,25 @@
 // on the header. It limits how much a caller without a valid key can send.
 constexpr int64_t kMaxRejectedBodyBytes = 8 << 20;
 
+// Delay before a retry of a request for which there was no memory.
+constexpr Millis kNoMemoryRetryAfter{1'000};
+
 }  // namespace
 
 // State of a request from its header to the end of its reply.
 struct HttpServer::Exchange {
+  explicit Exchange(HttpServer* server)
+      : m_server(server),
+        m_held(server->m_held_bytes, server->m_options.m_max_held_bytes) {}
+
   HttpServer* m_server = nullptr;
   HttpRequest m_request;
   BodyPlan m_plan;
   Status m_body_status;
   int64_t m_body_bytes = 0;
   bool m_too_large = false;
+  HeldBody m_held;
+  bool m_over_budget = false;
   MHD_PostProcessor* m_post = nullptr;
   BodyReader m_reader;
 };
@@ -93,8 +105,7 @@
                          MHD_Connection* connection,
                          const char* url,
                          const char* method) {
-    Exchange* exchange = new Exchange;
-    exchange->m_server = server;
+    Exchange* exchange = new Exchange(server);
     ++server->m_active;
     server->RecordActivity();
     HttpRequest& request = exchange->m_request;
@@ -148,6 +159,57 @@
             .value());
   }
 
+  // Appends to the body. Over the budget, the body is dropped and the rest of
+  // it is read without holding it, so that the caller gets the refusal.
+  static void HoldBody(Exchange& exchange, std::string_view piece) {
+    std::string& body = exchange.m_request.m_body;
+    if (exchange.m_over_budget) {
+      return;
+    }
+    const size_t size = body.size() + piece.size();
+    // The memory is counted before it is taken, as the threads of many
+    // connections get here at the same time.
+    const size_t capacity =
+        size <= body.capacity() ? body.capacity() : std::bit_ceil(size);
+    if (exchange.m_held.Resize(capacity)) {
+      body.reserve(capacity);
+      body.append(piece);
+    } else {
+      exchange.m_over_budget = true;
+      std::string().swap(body);
+      exchange.m_held.Resize(0);
+      CountMetric("bronzecross_bound_refusals_total",
+                  {{"reason", "memory_budget"}});
+    }
+  }
+
+  static HttpReply NoMemoryReply() {
+    Error error =
+        Fail(ResultCode::kOverloaded, "the VM holds too many request bodies")
+            .value();
+    error.m_retry_after = kNoMemoryRetryAfter;
+    return ErrorReply(error);
+  }
+
+  // Returns the entry of the connection in the list of open ones.
+  static ConnectionList::Connection* FindConnection(
+      MHD_Connection* connection) {
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info == nullptr
+               ? nullptr
+               : static_cast<ConnectionList::Connection*>(info->socket_context);
+  }
+
+  static void SetBusy(HttpServer* server,
+                      MHD_Connection* connection,
+                      bool busy) {
+    ConnectionList::Connection* entry = FindConnection(connection);
+    if (entry != nullptr) {
+      server->m_connections.SetBusy(*entry, busy);
+    }
+  }
+
   static void ReceiveBody(Exchange& exchange,
                           MHD_Connection* connection,
                           std::string_view piece) {
@@ -159,7 +221,7 @@
       return;
     }
     if (!exchange.m_plan.m_sink) {
-      exchange.m_request.m_body.append(piece);
+      HoldBody(exchange, piece);
       return;
     }
     const std::string_view type =
@@ -251,13 +313,17 @@
     if (exchange->m_too_large) {
       return Send(*exchange, connection, BodyTooLargeReply(*exchange));
     }
+    if (exchange->m_over_budget) {
+      return Send(*exchange, connection, NoMemoryReply());
+    }
+    SetBusy(server, connection, true);
     return Send(*exchange, connection,
                 server->m_handlers.m_handle(exchange->m_request,
                                             exchange->m_body_status));
   }
 
   static void OnCompleted(void* self,
-                          MHD_Connection*,
+                          MHD_Connection* connection,
                           void** context,
                           MHD_RequestTerminationCode) {
     HttpServer* server = static_cast<HttpServer*>(self);
@@ -270,22 +336,35 @@
     }
     delete exchange;
     *context = nullptr;
+    SetBusy(server, connection, false);
     server->RecordActivity();
     --server->m_active;
   }
 
   static void OnConnection(void* self,
-                           MHD_Connection*,
-                           void**,
+                           MHD_Connection* connection,
+                           void** context,
                            MHD_ConnectionNotificationCode code) {
+    HttpServer* server = static_cast<HttpServer*>(self);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-      static_cast<HttpServer*>(self)->RecordActivity();
+      server->RecordActivity();
+      const MHD_ConnectionInfo* info = MHD_get_connection_info(
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      *context = info == nullptr ? nullptr
+                                 : server->m_connections.Add(info->connect_fd);
+    } else if (*context != nullptr) {
+      // The socket is closed after this call.
+      server->m_connections.Remove(
+          static_cast<ConnectionList::Connection*>(*context));
+      *context = nullptr;
     }
   }
 };
 
 HttpServer::HttpServer(HttpServerOptions options, HttpHandlers handlers)
-    : m_options(std::move(options)), m_handlers(std::move(handlers)) {}
+    : m_options(std::move(options)),
+      m_handlers(std::move(handlers)),
+      m_connections(static_cast<size_t>(m_options.m_max_connections)) {}
 
 HttpServer::~HttpServer() {
   Stop();
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -5,10 +5,12 @@
 #define BRONZECROSS_HTTP_HTTP_SERVER_H_
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string>
 
 #include "base/net_address.h"
+#include "http/connection_list.h"
 #include "http/http_message.h"
 
 struct MHD_Daemon;
@@ -20,6 +22,9 @@
   int64_t m_max_header_bytes = 16 * 1024;
   int64_t m_max_connections = 4000;
   Millis m_idle_timeout{60'000};
+  // Bytes of request bodies that are held at the same time. Beyond it a request
+  // is rejected with 503.
+  int64_t m_max_held_bytes = INT64_MAX;
 };
 
 struct HttpHandlers {
@@ -67,8 +72,10 @@
   const HttpServerOptions m_options;
   const HttpHandlers m_handlers;
   MHD_Daemon* m_daemon = nullptr;
+  ConnectionList m_connections;
   int m_listen_fd = -1;
   NetAddress m_bound;
+  std::atomic<int64_t> m_held_bytes = 0;  // of request bodies
   std::atomic<int> m_active = 0;
   std::atomic<bool> m_announce_close = false;
   std::atomic<bool> m_listening = false;
--- a/packages/http/http_test.cc
+++ b/packages/http/http_test.cc
@@ -1,10 +1,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+
 #include <doctest/doctest.h>
 
 #include <absl/strings/str_cat.h>
 
+#include "http/body_budget.h"
 #include "http/http_client.h"
 #include "http/http_error_reply.h"
 #include "http/http_server.h"
@@ -53,6 +56,55 @@
   CHECK(FindHeader(refused->m_headers, kRunHeader) == "not_run");
 }
 
+// Guards against large bodies that leave no memory for ordinary requests.
+TEST_CASE("a full budget refuses large bodies first") {
+  std::atomic<int64_t> held = 0;
+  {
+    HeldBody large(held, 1'000'000);
+    CHECK(large.Resize(700'000));
+    HeldBody second(held, 1'000'000);
+    CHECK_FALSE(second.Resize(100'000));
+    CHECK(second.Resize(0));
+    HeldBody small(held, 1'000'000);
+    CHECK(small.Resize(kSmallBodyBytes));
+    CHECK(held == 700'000 + static_cast<int64_t>(kSmallBodyBytes));
+  }
+  CHECK(held == 0);
+  CHECK(DefaultBodyBudget() > 0);
+}
+
+TEST_CASE("a body over the server's budget is refused as not run") {
+  HttpServerOptions options = LocalOptions();
+  options.m_max_held_bytes = 200'000;
+  int handled = 0;
+  HttpServer server(options,
+                    {[](HttpRequest&) {
+                       return BodyPlan{1'000'000, nullptr, std::nullopt};
+                     },
+                     [&](HttpRequest&, const Status&) {
+                       ++handled;
+                       return JsonReply(200, "{}");
+                     }});
+  REQUIRE(server.Start().has_value());
+  HttpClient client;
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_url = Url(server, "/x");
+  const std::string large(500'000, 'x');
+  call.m_body = large;
+  for (int i = 0; i < 3; ++i) {
+    const Result<HttpAnswer> refused = client.Call(call);
+    REQUIRE(refused.has_value());
+    CHECK(refused->m_status == 503);
+    CHECK(FindHeader(refused->m_headers, "Retry-After") == "1");
+    CHECK(FindHeader(refused->m_headers, kRunHeader) == "not_run");
+  }
+  CHECK(handled == 0);
+  const std::string small(50'000, 'x');
+  call.m_body = small;
+  CHECK(client.Call(call)->m_status == 200);
+}
+
 // Guards against a lost refusal: a connection that is closed with unread bytes
 // is reset, and a caller that is still sending then sees only the reset.
 TEST_CASE(
--- a/programs/bronzecross/daemon.cc
+++ b/programs/bronzecross/daemon.cc
@@ -7,6 +7,7 @@
 
 #include "admin_server.h"
 #include "base/log.h"
+#include "http/body_budget.h"
 #include "peers/h2_socket.h"
 #include "request_router.h"
 #include "stale_config_gate.h"
@@ -84,6 +85,9 @@
   options.m_max_header_bytes = settings.m_max_header_bytes;
   options.m_max_connections = settings.m_max_connections;
   options.m_idle_timeout = settings.m_idle_timeout;
+  options.m_max_held_bytes = settings.m_http_budget_bytes > 0
+                                 ? settings.m_http_budget_bytes
+                                 : DefaultBodyBudget();
   return options;
 }
 
--- a/programs/bronzecross/main.cc
+++ b/programs/bronzecross/main.cc
@@ -1,6 +1,8 @@
 // Main function of the bronzecross program: runs the daemon, the gateway or the
 // storage role.
 
+#include <malloc.h>
+
 #include <cstdio>
 
 #include "base/log.h"
@@ -10,6 +12,16 @@
 #include "drain_signal.h"
 #include "gateway_main.h"
 
+namespace {
+
+// Buffers from this size on are given back to the system when they are freed.
+// By default the allocator raises the size as it sees large buffers, and the
+// arenas of many threads then keep several times what the budget for request
+// bodies allows.
+constexpr int kMappedBufferBytes = 128 << 10;
+
+}  // namespace
+
 int main(int argc, const char** argv) {
   const bronzecross::CommandLine line =
       bronzecross::ParseCommandLine(argc, argv);
@@ -33,6 +45,7 @@
     std::printf("%s: ok\n", line.m_settings_path.c_str());
     return 0;
   }
+  mallopt(M_MMAP_THRESHOLD, kMappedBufferBytes);
   bronzecross::BlockDrainSignals();
   bronzecross::InitLog(settings->m_log_level, settings->m_log_format);
   bronzecross::Daemon daemon(*settings);
