--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/text.h"
-#include "gateway/buffered_bytes.h"
+#include "gateway/buffered_response.h"
 #include "gateway/crash_check.h"
 #include "http1/write_message.h"
 
@@ -24,6 +24,9 @@
 // upstream pauses.
 constexpr size_t kMaxQueuedBytes = 256 << 10;
 
+// The same while the memory budget is short.
+constexpr size_t kMaxQueuedBytesIfShort = 16 << 10;
+
 // A request that may be repeated is sent to another upstream if there is no
 // response within this many times its latency target.
 constexpr int64_t kUnresponsiveFactor = 3;
@@ -249,14 +252,23 @@
     UpstreamCall& call,
     const UpstreamPtr& upstream) {
   std::string body;
-  BufferedBytes buffered(m_node.m_buffered_bytes);
+  BufferedResponse buffered(m_node.m_buffered_bytes, *m_request.m_lease);
   while (!call.IsComplete()) {
     CallState state =
         co_await call.ReadBody(body, m_deadline + kDeadlineSlack, nullptr);
     if (state == CallState::kCancelled) {
       co_return AttemptResult::kCallerLeft;
     }
-    if (state == CallState::kResponded && !buffered.Update(body.size())) {
+    const BufferedResponse::Verdict verdict =
+        buffered.Update(body.size(), body.capacity());
+    if (state == CallState::kResponded &&
+        verdict == BufferedResponse::Verdict::kNoMemory) {
+      // The upstream isn't to blame, and neither is the request.
+      m_node.CountRefusal(ReadFault::kBudgetFull);
+      co_return AttemptResult::kFailed;
+    }
+    if (state == CallState::kResponded &&
+        verdict == BufferedResponse::Verdict::kTooLarge) {
       call.MarkBroken();
       state = CallState::kBroken;
     }
@@ -424,7 +436,11 @@
       co_return MayRunAgain() ? AttemptResult::kTryAnother
                               : AttemptResult::kFailed;
     }
-    if (m_caller.QueuedBytes() > kMaxQueuedBytes) {
+    const size_t max_queued =
+        m_caller.CountHeld(m_request.m_held_bytes) == BudgetVerdict::kFits
+            ? kMaxQueuedBytes
+            : kMaxQueuedBytesIfShort;
+    if (m_caller.QueuedBytes() > max_queued) {
       const bool sent = co_await m_caller.FlushAll(deadline);
       if (!sent) {
         co_return AttemptResult::kCallerLeft;
