Review case 6: jobs can't be read once the host has a public route

Cause: the workspace of a job call is taken from the route that its path matches, and a public route sets none. Change: a script case with its claim.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A batch job larger than a value of the store: see claim.txt.
-exec "$(dirname "$0")/../cases-2/run-case.sh" 6 case_large_jobs
+# A public route of the whole host is added: see claim.txt.
+exec "$(dirname "$0")/../cases-2/run-case.sh" 6 case_public_route
--- a/review/cases-2/case_large_jobs.cc
+++ b/review/cases-2/case_large_jobs.cc
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -151,10 +152,8 @@
  public:
   KeptClient(Fleet& fleet, int vm, int number)
       : m_fleet(fleet), m_vm(vm), m_number(number), m_thread([this] { Run(); }) {}
-  ~KeptClient() {
-    m_stopped = true;
-    m_thread.join();
-  }
+  ~KeptClient() { m_thread.join(); }
+  static void StopAll() { s_stopped = true; }
   static int Answered() { return s_answered; }
   // Requests that a replica had and whose connection ended without an answer.
   static int Lost() { return s_lost; }
@@ -169,6 +168,8 @@
         htons(static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
     m_fd = socket(AF_INET, SOCK_STREAM, 0);
+    const timeval limit = {8, 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     if (connect(m_fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) !=
         0) {
       close(m_fd);
@@ -207,7 +208,7 @@
   }
 
   void Run() {
-    for (int i = 0; !m_stopped; ++i) {
+    for (int i = 0; !s_stopped; ++i) {
       if (m_fd < 0 && !Connect()) {
         bronzecross::SleepFor(Millis(200));
         continue;
@@ -231,13 +232,13 @@
     }
   }
 
+  static inline std::atomic<bool> s_stopped = false;
   static inline std::atomic<int> s_answered = 0;
   static inline std::atomic<int> s_lost = 0;
   Fleet& m_fleet;
   const int m_vm;
   const int m_number;
   int m_fd = -1;
-  std::atomic<bool> m_stopped = false;
   std::thread m_thread;
 };
 
@@ -368,6 +369,7 @@
   for (std::thread& client : clients) {
     client.join();
   }
+  KeptClient::StopAll();
   kept.clear();
   const int kills = platform->Kills();
   const int machines = platform->KilledMachines();
--- a/review/cases-2/fleet.cc
+++ b/review/cases-2/fleet.cc
@@ -119,9 +119,13 @@
     }
     m_ports.push_back(ports);
   }
+  Publish(1, m_options.m_routes);
+}
+
+void Fleet::Publish(int version, const std::vector<json>& routes) {
   json config;
-  config["version"] = 1;
-  config["routes"] = m_options.m_routes;
+  config["version"] = version;
+  config["routes"] = routes;
   config["services"] = json::array();
   for (const std::string& service : m_options.m_services) {
     config["services"].push_back({{"name", service},
--- a/review/cases-2/fleet.h
+++ b/review/cases-2/fleet.h
@@ -93,6 +93,8 @@
               const std::vector<HttpHeader>& more = {});
   std::string CallerAddress(int vm) const;
   std::string LogPath(int vm) const;
+  // Publishes a configuration with these routes; `version` must increase.
+  void Publish(int version, const std::vector<nlohmann::json>& routes);
   // Ends all gateways and the case.
   [[noreturn]] void Finish(int code);
 
