--- a/review/cases-2/fleet.cc
+++ b/review/cases-2/fleet.cc
@@ -1,10 +1,9 @@
 #include "fleet.h"
 
-#include <netinet/in.h>
 #include <signal.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -31,18 +30,15 @@
 
 const int64_t g_started = SteadyMs();
 
-// A port that is free now.
-int FreePort(const std::string& ip) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  (void)ip;
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+// Ports of the first gateway; below those that the system hands out.
+constexpr int kFirstPort = 20'000;
+
+// A loopback address of this process alone, so that cases that run at the same
+// time can't take one another's ports.
+std::string OwnLoopbackIp() {
+  const int pid = getpid();
+  return Concat("127.", 90 + ((pid >> 16) & 0x3f), ".", (pid >> 8) & 0xff, ".",
+                std::max(pid & 0xff, 1));
 }
 
 std::FILE* RecordFile() {
@@ -103,7 +99,7 @@
 Fleet::Fleet(bronzecross::PlatformStoreStandin& store, FleetOptions options)
     : m_store(store),
       m_options(std::move(options)),
-      m_ip("127.0.0.1"),
+      m_ip(OwnLoopbackIp()),
       m_processes(static_cast<size_t>(m_options.m_vms)) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "bronzecross-review-XXXXXX")
@@ -115,7 +111,7 @@
   for (int i = 0; i < m_options.m_vms; ++i) {
     std::vector<int> ports;
     for (int k = 0; k < kPortsOfVm; ++k) {
-      ports.push_back(FreePort(m_ip));
+      ports.push_back(kFirstPort + i * kPortsOfVm + k);
     }
     m_ports.push_back(ports);
   }
