--- a/review/cases-2/case_failing_item.cc
+++ b/review/cases-2/case_failing_item.cpp
@@ -11,7 +11,7 @@
 
 #include "base/base64.h"
 #include "base/text.h"
-#include "fleet.h"
+#include "fleet.hpp"
 
 namespace {
 
--- a/review/cases-2/case_large_jobs.cc
+++ b/review/cases-2/case_large_jobs.cpp
@@ -18,7 +18,7 @@
 
 #include "base/base64.h"
 #include "base/text.h"
-#include "fleet.h"
+#include "fleet.hpp"
 #include "http1/message_head.h"
 
 namespace {
--- a/review/cases-2/case_run_twice.cc
+++ b/review/cases-2/case_run_twice.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "base/text.h"
-#include "fleet.h"
+#include "fleet.hpp"
 
 namespace {
 
--- a/review/cases-2/fleet.cc
+++ b/review/cases-2/fleet.cpp
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "fleet.hpp"
 
 #include <signal.h>
 #include <unistd.h>
