Review case 9: a non_idempotent request runs twice

Cause: a route with resumable counts as repeatable whatever its kind. Change: a script case with its claim.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# An item that fails at each run, and rolling restarts: see claim.txt.
-exec "$(dirname "$0")/../cases-2/run-case.sh" 9 case_failing_item
+# Requests that may run once run again: see claim.txt.
+exec "$(dirname "$0")/../cases-2/run-case.sh" 9 case_run_twice
