Review case 6: the open job's replica streams instead of standing still

Cause: a replica that answers nothing for a minute is a disruption of its own. Change: its items are sound streams of 22 s with an event every 150 ms.

--- a/review/cases-2/case_public_route.cpp
+++ b/review/cases-2/case_public_route.cpp
@@ -2,8 +2,9 @@
 // batch jobs are submitted. Reads jobs and bodies and ends a job before and
 // after it, at each gateway.
 
-#include <atomic>
-#include <thread>
+#include <algorithm>
+#include <cstdlib>
+#include <span>
 
 #include "base/base64.h"
 #include "base/text.h"
@@ -19,8 +20,9 @@
 constexpr int kItems = 4;
 constexpr int64_t kConfigApplyMs = 2'000;
 constexpr int64_t kSettleMs = 1'000;
-// The answer to each item takes this long for the job that stays open.
-constexpr Millis kLongWork{60'000};
+// The streams of the job that stays open are long.
+constexpr int kLongEvents = 150;
+constexpr Millis kEventGap{150};
 
 // A sound replica.
 class Replica {
@@ -46,14 +48,34 @@
     const std::string id(
         bronzecross::FindHeader(request.m_headers, "Request-Id"));
     Record(Concat("the replica runs ", id));
-    if (id.starts_with("open")) {
-      bronzecross::SleepFor(kLongWork);
-    }
     HttpReply reply;
     reply.m_headers.push_back({"Request-Id", id});
+    if (bronzecross::FindHeader(request.m_headers, "Expect-Instance") !=
+        "i-1") {
+      reply.m_status = 421;
+      reply.m_headers.push_back({"Not-Run", "1"});
+      return reply;
+    }
     reply.m_headers.push_back({"Server-Stamp", "stamp-i-1"});
     reply.m_headers.push_back({"Content-Type", "text/event-stream"});
-    reply.m_body = Concat("id: 1\ndata: output of ", id, "\n\n");
+    if (!id.starts_with("open")) {
+      reply.m_body = Concat("id: 1\ndata: output of ", id, "\n\n");
+      return reply;
+    }
+    const int from = std::atoi(
+        std::string(bronzecross::FindHeader(request.m_headers, "Last-Event-Id"))
+            .c_str());
+    reply.m_reader = [next = from](std::span<char> buffer) mutable
+        -> bronzecross::Result<size_t> {
+      if (next >= kLongEvents) {
+        return size_t{0};
+      }
+      bronzecross::SleepFor(kEventGap);
+      ++next;
+      const std::string event = Concat("id: ", next, "\ndata: event\n\n");
+      std::copy(event.begin(), event.end(), buffer.begin());
+      return event.size();
+    };
     return reply;
   }
 
