--- a/review/cases-2/case_large_jobs.cpp
+++ b/review/cases-2/case_large_jobs.cpp
@@ -214,7 +214,12 @@
         continue;
       }
       const std::string id = Concat("ask-", m_number, "-", i);
+      const int64_t sent = Now();
       const int status = Exchange(id);
+      Record(Concat(id, " sent to ", m_fleet.VmId(m_vm), " at ", sent,
+                    " ms: run by a replica: ",
+                    Replica::HasBegun(id) ? "yes" : "no", ", answered ",
+                    status));
       s_answered += status == 200 ? 1 : 0;
       if (status == 0) {
         close(m_fd);
