--- a/review/cases-2/case_crash_again.cpp
+++ b/review/cases-2/case_crash_again.cpp
@@ -148,6 +148,8 @@
       const Answer answer =
           fleet.Call(i % kVms, "POST", Concat("/ask/other-", i),
                      Concat("other-", i), "another", 2'000);
+      Record(Concat("other-", i, " to ", fleet.VmId(i % kVms), ": answered ",
+                    answer.m_status));
       ++others;
       served += answer.m_status == 200 ? 1 : 0;
       bronzecross::SleepFor(Millis(250));
