--- a/review/cases-2/case_run_twice.cpp
+++ b/review/cases-2/case_run_twice.cpp
@@ -79,7 +79,7 @@
     bronzecross::SleepFor(Millis(30));
     reply.m_headers.push_back({"Server-Stamp", Concat("stamp-", m_id)});
     reply.m_body = Concat("receipt for ", id);
-    if (m_loses && IsLossTime() && ++m_answers % kLosesEvery == 0) {
+    if (m_loses && IsLossTime() && ++s_answers % kLosesEvery == 0) {
       ++s_lost;
       Record(Concat(m_id, " has run ", id, " and loses its answer"));
       reply.m_body.clear();
@@ -93,9 +93,10 @@
   static inline std::mutex s_mutex;
   static inline std::map<std::string, int> s_runs;
   static inline std::atomic<int> s_lost = 0;
+  // Answers of all replicas that lose some, while they do.
+  static inline std::atomic<int> s_answers = 0;
   const std::string m_id;
   const bool m_loses;
-  std::atomic<int> m_answers = 0;
   bronzecross::StandinServer m_server;
 };
 
