Jobs belong to the key of their submission, whatever the routes

Jobs that were sent with a key to a public batch route got 404 with that key; jobs accepted while the configuration had no workspaces got 404 later; GET /api/items/ and /api/lots/ of an ordinary route got 404 on any host.

Cause: one look-up of a route by path decided both whether a request is a call about a job and in whose name it is made. The missing invariant: a job belongs to the workspace whose key its submission carried, and only a key says who calls.

Change: gateway/request_access decides what a request addresses and in whose name, as a function of plain values; jobs/job_access decides who may use a job, at all eight places that compared names of workspaces. Without a key, jobs that belong to a workspace are answered 401. Forwarded calls must name their workspace. Empty keys and unnamed workspaces are no identities.

--- a/packages/fleet/fleet_config.cc
+++ b/packages/fleet/fleet_config.cc
@@ -5,6 +5,16 @@
 #include "base/text.h"
 
 namespace bronzecross {
+namespace {
+
+// Returns null if `host`, which may include a port, has no routes.
+const HostRoutes* FindHost(const FleetConfig& config, std::string_view host) {
+  const auto found =
+      config.m_by_host.find(ToLower(host.substr(0, host.find(':'))));
+  return found == config.m_by_host.end() ? nullptr : &found->second;
+}
+
+}  // namespace
 
 void IndexConfig(FleetConfig& config) {
   // The first of several entries with the same prefix, name or key counts.
@@ -13,6 +23,10 @@
     routes.m_by_prefix.emplace(route.m_prefix, &route);
     routes.m_longest_prefix =
         std::max(routes.m_longest_prefix, route.m_prefix.size());
+    if (route.m_kind == RouteKind::kBatch) {
+      routes.m_has_batch = true;
+      config.m_has_public_batch = config.m_has_public_batch || route.m_public;
+    }
     config.m_route_by_name.emplace(route.m_name, &route);
     config.m_has_homes = config.m_has_homes || !route.m_allowed_regions.empty();
   }
@@ -32,29 +46,32 @@
 const Route* FindRoute(const FleetConfig& config,
                        std::string_view host,
                        std::string_view path) {
-  const std::string name = ToLower(host.substr(0, host.find(':')));
-  const auto found = config.m_by_host.find(name);
-  if (found == config.m_by_host.end()) {
+  const HostRoutes* routes = FindHost(config, host);
+  if (routes == nullptr) {
     return nullptr;
   }
   // Every prefix ends with a slash, so only the parts of the path that do can
   // match. Longer parts than the longest prefix are skipped, or a path of many
   // slashes would take long.
-  const HostRoutes& routes = found->second;
-  std::string_view part = path.substr(0, routes.m_longest_prefix);
+  std::string_view part = path.substr(0, routes->m_longest_prefix);
   for (;;) {
     const size_t slash = part.rfind('/');
     if (slash == std::string_view::npos) {
       return nullptr;
     }
-    const auto route = routes.m_by_prefix.find(part.substr(0, slash + 1));
-    if (route != routes.m_by_prefix.end()) {
+    const auto route = routes->m_by_prefix.find(part.substr(0, slash + 1));
+    if (route != routes->m_by_prefix.end()) {
       return route->second;
     }
     part = part.substr(0, slash);
   }
 }
 
+bool HasBatchRoute(const FleetConfig& config, std::string_view host) {
+  const HostRoutes* routes = FindHost(config, host);
+  return routes != nullptr && routes->m_has_batch;
+}
+
 const Route* FindRouteByName(const FleetConfig& config, std::string_view name) {
   const auto found = config.m_route_by_name.find(name);
   return found == config.m_route_by_name.end() ? nullptr : found->second;
--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -90,6 +90,7 @@
 struct HostRoutes {
   absl::flat_hash_map<std::string_view, const Route*> m_by_prefix;
   size_t m_longest_prefix = 0;  // in bytes
+  bool m_has_batch = false;     // a batch route is among them
 };
 
 struct FleetConfig {
@@ -102,6 +103,8 @@
   // Whether a route or a workspace limits its requests to regions; set by
   // IndexConfig().
   bool m_has_homes = false;
+  // Whether a batch route is public; set by IndexConfig().
+  bool m_has_public_batch = false;
 
   // Indexes built by IndexConfig(). A look-up takes the same time with ten
   // routes and with ten thousand.
@@ -128,6 +131,10 @@
                        std::string_view host,
                        std::string_view path);
 
+// Returns whether one of the routes of `host`, which may include a port, is a
+// batch route.
+bool HasBatchRoute(const FleetConfig& config, std::string_view host);
+
 const Route* FindRouteByName(const FleetConfig& config, std::string_view name);
 
 // Returns the workspace of the API key `key`; null if there is none.
--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -10,8 +10,9 @@
 #include "gateway/job_calls.h"
 #include "gateway/job_submission.h"
 #include "gateway/online_request.h"
+#include "gateway/request_access.h"
 #include "gateway/token_calls.h"
-#include "platform/batch_calls.h"
+#include "jobs/job_service.h"
 
 namespace bronzecross {
 namespace {
@@ -221,9 +222,9 @@
   co_return StatusOfFault(caller.Fault(), caller.Parser().GetState());
 }
 
-// Sets the configuration, route and workspace of a request. Fails with
-// kStaleConfig before the first configuration has been read, and with
-// kUnknownRoute, kMissingKey or kInvalidKey if the request must not be served.
+// Sets the configuration of a request, and what it addresses and in whose name.
+// Fails with kStaleConfig before the first configuration has been read, and
+// like DecideAccess().
 Status Authorize(Node& node, IncomingRequest& request) {
   request.m_config = node.m_config;
   if (request.m_config == nullptr) {
@@ -231,28 +232,15 @@
                                            "no configuration is known yet",
                                            kUnconfiguredRetryAfter));
   }
-  const FleetConfig& config = *request.m_config;
-  const std::string_view path = TargetPath(request.m_head.m_target);
-  request.m_route = FindRoute(config, request.m_fields.m_host, path);
-  const bool is_job_call = platform::DecodeJobCall(request.m_head).m_kind !=
-                           platform::JobCallKind::kNone;
-  if (request.m_route == nullptr && !is_job_call) {
-    return tl::unexpected<Error>(
-        MakeError(ResultCode::kUnknownRoute, "no route matches", Millis()));
-  }
-  if (request.m_route != nullptr && request.m_route->m_public) {
-    return {};
-  }
-  if (config.m_workspaces.empty()) {
-    return {};
-  }
-  request.m_workspace = FindWorkspaceByKey(config, request.m_fields.m_key);
-  if (request.m_workspace == nullptr) {
-    return tl::unexpected<Error>(MakeError(request.m_fields.m_key.empty()
-                                               ? ResultCode::kMissingKey
-                                               : ResultCode::kInvalidKey,
-                                           "the key is unknown", Millis()));
+  Result<RequestAccess> access = DecideAccess(
+      *request.m_config, request.m_head, request.m_fields,
+      [&node](std::string_view job) { return node.m_jobs->Knows(job); });
+  if (!access) {
+    return tl::unexpected<Error>(access.error());
   }
+  request.m_route = access->m_route;
+  request.m_workspace = access->m_workspace;
+  request.m_job_call = std::move(access->m_job_call);
   return {};
 }
 
@@ -284,9 +272,8 @@
     RejectRequest(node, caller, request, allowed.error());
     co_return true;
   }
-  const platform::JobCall call = platform::DecodeJobCall(request.m_head);
-  if (call.m_kind != platform::JobCallKind::kNone) {
-    const CallerReply reply = co_await ServeJobCall(node, request, call);
+  if (request.m_job_call.m_kind != platform::JobCallKind::kNone) {
+    const CallerReply reply = co_await ServeJobCall(node, request);
     QueueReply(node, caller, request, reply);
     co_return true;
   }
--- a/packages/gateway/incoming_request.h
+++ b/packages/gateway/incoming_request.h
@@ -9,6 +9,7 @@
 #include "fleet/fleet_config.h"
 #include "gateway/caller_reply.h"
 #include "http1/http_connection.h"
+#include "platform/batch_calls.h"
 #include "platform/request_headers.h"
 
 namespace bronzecross {
@@ -19,10 +20,11 @@
   platform::CallerFields m_fields;
   Millis m_arrived;  // when the head was complete
   // The configuration that applies to this request. It owns the route and the
-  // workspace below.
+  // workspace below, which are those of RequestAccess.
   FleetConfigPtr m_config;
   const Route* m_route = nullptr;
-  const Workspace* m_workspace = nullptr;  // null on public routes
+  const Workspace* m_workspace = nullptr;
+  platform::JobCall m_job_call;
   // What the caller's connection holds of the memory budget.
   BudgetLease* m_lease = nullptr;
   // About how much memory the head and the body take.
--- a/packages/gateway/job_calls.cc
+++ b/packages/gateway/job_calls.cc
@@ -33,6 +33,7 @@
 constexpr Millis kTellOwnerFor{10'000};
 
 constexpr int kOkStatus = 200;
+constexpr int kNotFoundStatus = 404;
 constexpr int kMisdirected = 421;
 
 std::string_view WorkspaceName(const IncomingRequest& request) {
@@ -152,6 +153,18 @@
       {{"job", job}, {"owner", owner}, {"outcome", outcome}});
 }
 
+// Where keys are required, a caller without one isn't told which jobs exist.
+CallerReply HideJobsFromAnonymous(const IncomingRequest& request,
+                                  CallerReply reply) {
+  if (reply.m_status != kNotFoundStatus || request.m_workspace != nullptr ||
+      request.m_config->m_workspaces.empty()) {
+    return reply;
+  }
+  return MakeErrorReply(
+      Fail(ResultCode::kMissingKey, "the job can't be used without a key")
+          .value());
+}
+
 }  // namespace
 
 Millis JobCallDeadline(const IncomingRequest& request) {
@@ -173,9 +186,8 @@
        {"ms", MonotonicNow() - request.m_arrived}});
 }
 
-Task<CallerReply> ServeJobCall(Node& node,
-                               const IncomingRequest& request,
-                               platform::JobCall call) {
+Task<CallerReply> ServeJobCall(Node& node, const IncomingRequest& request) {
+  const platform::JobCall& call = request.m_job_call;
   const Millis poll_wait = std::min(request.m_fields.m_poll_wait, kMaxPollWait);
   const Millis deadline = JobCallDeadline(request);
   const std::string workspace(WorkspaceName(request));
@@ -195,8 +207,10 @@
           node, owner, call, workspace,
           is_cancel ? kForwardedCancelTime : poll_wait, deadline);
       if (forwarded) {
-        LogJobCall(request, CallName(call.m_kind), call.m_job, *forwarded);
-        co_return *std::move(forwarded);
+        CallerReply reply =
+            HideJobsFromAnonymous(request, *std::move(forwarded));
+        LogJobCall(request, CallName(call.m_kind), call.m_job, reply);
+        co_return reply;
       }
       may_be_cancelled =
           is_cancel && forwarded.error().m_run == RunState::kUnknown;
@@ -214,6 +228,7 @@
       reply.m_status == kOkStatus && !node.m_jobs->IsOwner(call.m_job)) {
     Spawn(TellOwnerOfEnd(node, call, workspace));
   }
+  reply = HideJobsFromAnonymous(request, std::move(reply));
   LogJobCall(request, CallName(call.m_kind), call.m_job, reply);
   co_return reply;
 }
@@ -233,12 +248,13 @@
   call.m_item = QueryValue(head.m_target, "item").value_or("");
   call.m_after = ParseDecimal(QueryValue(head.m_target, "after").value_or("0"))
                      .value_or(0);
-  const std::string workspace =
-      QueryValue(head.m_target, "workspace").value_or("");
+  const std::optional<std::string> workspace =
+      QueryValue(head.m_target, "workspace");
   const Millis wait(
       ParseDecimal(QueryValue(head.m_target, "wait").value_or("0"))
           .value_or(0));
-  if (call.m_kind == platform::JobCallKind::kNone ||
+  // An empty workspace is a caller without a key; a missing one says nothing.
+  if (call.m_kind == platform::JobCallKind::kNone || !workspace ||
       !node.m_jobs->IsOwner(call.m_job)) {
     node.m_jobs->CheckOwner(call.m_job);
     CallerReply reply;
@@ -246,7 +262,7 @@
     co_return reply;
   }
   CallerReply reply =
-      co_await ExecuteCall(node, call, workspace, wait, MonotonicNow() + wait);
+      co_await ExecuteCall(node, call, *workspace, wait, MonotonicNow() + wait);
   co_return reply;
 }
 
--- a/packages/gateway/job_calls.h
+++ b/packages/gateway/job_calls.h
@@ -20,10 +20,9 @@
                 std::string_view job,
                 const CallerReply& reply);
 
-// Reads the results or an item body of a job, or ends the job.
-Task<CallerReply> ServeJobCall(Node& node,
-                               const IncomingRequest& request,
-                               platform::JobCall call);
+// Reads the results or an item body of a job, or ends the job, as
+// `request.m_job_call` asks.
+Task<CallerReply> ServeJobCall(Node& node, const IncomingRequest& request);
 
 // Serves a call that another VM has forwarded. Replies with status 421 if this
 // VM doesn't run the job.
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "jobs/job_access.h"
 
 namespace bronzecross {
 
@@ -85,6 +86,10 @@
   return m_table.Has(id);
 }
 
+bool JobService::Knows(std::string_view id) const {
+  return m_table.Has(id) || m_table.m_claims.Find(id) != nullptr;
+}
+
 std::string JobService::OwnerOf(std::string_view id) const {
   const JobClaim* claim = m_table.m_claims.Find(id);
   return claim == nullptr ? "" : claim->m_owner;
@@ -226,7 +231,7 @@
   if (!pending->m_outcome) {
     co_return tl::unexpected<Error>(pending->m_outcome.error());
   }
-  if (job->m_state.m_workspace != workspace) {
+  if (!CheckJobAccess(job->m_state.m_workspace, workspace)) {
     co_return Fail(ResultCode::kConflict,
                    "the job id is used by another workspace");
   }
@@ -279,7 +284,7 @@
                                           Millis wait_time) {
   const Millis until = MonotonicNow() + wait_time;
   JobPtr job = co_await FindOwned(id);
-  if (job != nullptr && job->m_spec.m_workspace == workspace) {
+  if (job != nullptr && CheckJobAccess(job->m_spec.m_workspace, workspace)) {
     while (static_cast<int64_t>(job->m_listed.size()) <= after &&
            job->IsOpen() && MonotonicNow() < until) {
       WaitAny wait(until);
@@ -290,8 +295,9 @@
     job = co_await FindOwned(id);
   }
   if (job != nullptr) {
-    if (job->m_spec.m_workspace != workspace) {
-      co_return FailJobNotFound();
+    const Status allowed = CheckJobAccess(job->m_spec.m_workspace, workspace);
+    if (!allowed) {
+      co_return tl::unexpected<Error>(allowed.error());
     }
     co_return MakePage(job->m_state.m_total, job->m_listed, after);
   }
@@ -300,8 +306,9 @@
     co_return tl::unexpected<Error>(stored.error());
   }
   const BatchJobState& state = stored->m_state;
-  if (state.m_workspace != workspace) {
-    co_return FailJobNotFound();
+  const Status allowed = CheckJobAccess(state.m_workspace, workspace);
+  if (!allowed) {
+    co_return tl::unexpected<Error>(allowed.error());
   }
   WatchJob(id, state, stored->m_revision);
   if (state.m_listed <= after) {
@@ -321,7 +328,11 @@
   const JobPtr owned = co_await FindOwned(id);
   if (owned != nullptr) {
     const Job& job = *owned;
-    if (job.m_spec.m_workspace != workspace || !job.IsOpen()) {
+    const Status allowed = CheckJobAccess(job.m_spec.m_workspace, workspace);
+    if (!allowed) {
+      co_return tl::unexpected<Error>(allowed.error());
+    }
+    if (!job.IsOpen()) {
       co_return FailJobNotFound();
     }
     for (size_t i = 0; i < job.m_spec.m_items.size(); ++i) {
@@ -336,8 +347,11 @@
   if (!stored) {
     co_return tl::unexpected<Error>(stored.error());
   }
-  if (stored->m_state.m_workspace != workspace ||
-      stored->m_state.m_phase != JobPhase::kOpen) {
+  const Status allowed = CheckJobAccess(stored->m_state.m_workspace, workspace);
+  if (!allowed) {
+    co_return tl::unexpected<Error>(allowed.error());
+  }
+  if (stored->m_state.m_phase != JobPhase::kOpen) {
     co_return FailJobNotFound();
   }
   const Result<JobSpec> spec = co_await m_store.ReadSpec(id);
@@ -414,8 +428,9 @@
   if (!stored) {
     co_return tl::unexpected<Error>(stored.error());
   }
-  if (stored->m_state.m_workspace != workspace) {
-    co_return FailJobNotFound();
+  const Status allowed = CheckJobAccess(stored->m_state.m_workspace, workspace);
+  if (!allowed) {
+    co_return allowed;
   }
   JobClaim claim = ClaimOf(stored->m_state, stored->m_revision, MonotonicNow());
   Status cancelled;
@@ -445,8 +460,9 @@
       continue;
     }
     const JobPtr job = found->second;
-    if (job->m_spec.m_workspace != workspace) {
-      co_return FailJobNotFound();
+    const Status allowed = CheckJobAccess(job->m_spec.m_workspace, workspace);
+    if (!allowed) {
+      co_return allowed;
     }
     const Result<WriteOutcome> outcome = co_await CancelOwn(job, deadline);
     if (!outcome) {
--- a/packages/jobs/job_service.h
+++ b/packages/jobs/job_service.h
@@ -39,15 +39,18 @@
 
   // Returns whether this VM has the job in memory.
   bool IsOwner(std::string_view id) const;
+  // Returns whether this VM has the job or knows of another VM that has or had
+  // it.
+  bool Knows(std::string_view id) const;
   // Reads the owner of a job that another VM takes for a job of this one.
   void CheckOwner(std::string_view id);
   // Returns the id of the last known owner of the job, or an empty string.
   std::string OwnerOf(std::string_view id) const;
 
   // Returns the results from position `after` on. If there are none and this VM
-  // owns the job, waits for up to `wait`. All reads fail with kNotFound if the
-  // workspace has no such job, and with kStoreUnavailable if the store cannot
-  // be queried.
+  // owns the job, waits for up to `wait`. All reads fail like CheckJobAccess(),
+  // with kNotFound if there is no such job, and with kStoreUnavailable if the
+  // store cannot be queried.
   Task<Result<ResultPage>> Read(std::string id,
                                 std::string workspace,
                                 int64_t after,
--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -109,6 +109,39 @@
   Publish(version);
 }
 
+size_t PlatformOperatorStandin::FindRoute(const std::string& name) const {
+  const json& routes = m_config["routes"];
+  size_t index = 0;
+  while (index < routes.size() && routes[index]["name"] != name) {
+    ++index;
+  }
+  return index;
+}
+
+void PlatformOperatorStandin::PublishRoute(int version,
+                                           const std::string& name,
+                                           const json& changes) {
+  const size_t index = FindRoute(name);
+  json& routes = m_config["routes"];
+  if (index == routes.size()) {
+    routes.push_back(MakeRoute(name, "/", "idempotent", false));
+  }
+  routes[index].update(changes);
+  Publish(version);
+}
+
+void PlatformOperatorStandin::PublishWithoutRoute(int version,
+                                                  const std::string& name) {
+  m_config["routes"].erase(FindRoute(name));
+  Publish(version);
+}
+
+void PlatformOperatorStandin::PublishWorkspaces(int version,
+                                                const json& workspaces) {
+  m_config["tenants"] = workspaces;
+  Publish(version);
+}
+
 void PlatformOperatorStandin::Evacuate(const std::string& zone) {
   m_store.Put(Concat(kEvacuatePrefix, zone), "{}");
 }
--- a/standins/platform_operator_standin.h
+++ b/standins/platform_operator_standin.h
@@ -31,6 +31,14 @@
   void PublishCold(int version, double cold_s, double cold_per_s);
   // Limits the first workspace to `regions`.
   void PublishRegions(int version, const std::vector<std::string>& regions);
+  // Sets the fields of `changes` on the route `name`. A route with another name
+  // than the present ones is added, with the other fields of "plain".
+  void PublishRoute(int version,
+                    const std::string& name,
+                    const nlohmann::json& changes);
+  void PublishWithoutRoute(int version, const std::string& name);
+  // Replaces the workspaces; with an empty list no request needs a key.
+  void PublishWorkspaces(int version, const nlohmann::json& workspaces);
   // Evacuates an availability zone, and withdraws that.
   void Evacuate(const std::string& zone);
   void WithdrawEvacuation(const std::string& zone);
@@ -44,6 +52,8 @@
 
  private:
   void Publish(int version);
+  // Returns the position of a route in m_config, or the number of routes.
+  size_t FindRoute(const std::string& name) const;
 
   PlatformStoreStandin& m_store;
   nlohmann::json m_config;
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -183,7 +183,7 @@
   call.m_url = Concat(CallerUrl(request.m_vm), request.m_target);
   call.m_headers =
       PlatformCallerFields(request.m_id, request.m_key, request.m_deadline_ms);
-  call.m_headers.push_back({"Host", "gateway.test"});
+  call.m_headers.push_back({"Host", request.m_host});
   call.m_headers.insert(call.m_headers.end(), request.m_headers.begin(),
                         request.m_headers.end());
   call.m_body = request.m_body;
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -44,6 +44,7 @@
 struct GatewayRequest {
   int m_vm = 0;
   std::string m_method = "POST";
+  std::string m_host = "gateway.test";
   std::string m_target;
   std::string m_id;
   std::string m_key = "key-a";  // empty: none is sent
