The kind of a route alone decides what may run again

Cause: Route::IsRepeatable() was "idempotent, or resumable", and the decoder took "resumable" from routes of every kind. The missing invariant: a field that means nothing for a kind of route has no effect on it.

Change: dispatch/repeat_rule holds the one rule; retries, resumed streams and requests that leave a silent upstream ask it.

--- a/packages/fleet/fleet_config.h
+++ b/packages/fleet/fleet_config.h
@@ -38,23 +38,22 @@
   std::vector<ServiceShare> m_services;
   Millis m_timeout;         // maximum time that a caller waits
   Millis m_latency_target;  // for the first event or the whole response
-  Millis m_gap_target;      // maximum pause between events of a stream
   int m_max_attempts = 1;   // maximum number of upstreams tried per request
   int m_priority = 0;       // 0 is the highest
   bool m_public = false;    // requires no API key
-  bool m_resumable = false;
   // Regions in which its requests may run; empty: all.
   std::vector<std::string> m_allowed_regions;
-  // Batch routes only.
+  // The fields below keep their defaults on routes of other kinds than those
+  // named, whatever the operator writes.
+  //
+  // kStreaming:
+  Millis m_gap_target;       // maximum pause between events
+  bool m_resumable = false;  // another upstream can continue a stream
+  // kBatch:
   Millis m_due;        // time from submission until all results are due
   Millis m_retention;  // time from submission until items may be deleted
   // Maximum number of waiting tokens per workspace; 0: no limit.
   int64_t m_waiting_tokens = 0;
-
-  // Returns true if a request may run more than once.
-  bool IsRepeatable() const {
-    return m_kind == RouteKind::kIdempotent || m_resumable;
-  }
 };
 
 struct Service {
--- a/packages/fleet/fleet_test.cc
+++ b/packages/fleet/fleet_test.cc
@@ -85,16 +85,5 @@
   CHECK(b < 1'200);
 }
 
-TEST_CASE("requests of idempotent and resumable routes are repeatable") {
-  Route route;
-  route.m_kind = RouteKind::kStreaming;
-  CHECK_FALSE(route.IsRepeatable());
-  route.m_resumable = true;
-  CHECK(route.IsRepeatable());
-  route = Route();
-  route.m_kind = RouteKind::kIdempotent;
-  CHECK(route.IsRepeatable());
-}
-
 }  // namespace
 }  // namespace bronzecross
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "dispatch/repeat_rule.h"
 #include "gateway/buffered_response.h"
 #include "gateway/crash_check.h"
 #include "http1/write_message.h"
@@ -31,8 +32,8 @@
 // response within this many times its latency target.
 constexpr int64_t kUnresponsiveFactor = 3;
 
-// No further attempt is made if less than this time is left.
-constexpr Millis kMinAttemptTime{30};
+// Minimum time for which a request waits for a slot.
+constexpr Millis kMinSlotWait{30};
 
 // Time to wait for the upstream beyond the deadline that it was given, so that
 // its own response to a missed deadline arrives before the call times out.
@@ -72,9 +73,8 @@
 }
 
 bool OnlineRequest::MayRunAgain() const {
-  return m_request.m_route->IsRepeatable() && m_can_resume &&
-         m_runs < m_request.m_route->m_max_attempts &&
-         MonotonicNow() + kMinAttemptTime < m_deadline;
+  return bronzecross::MayRunAgain(
+      *m_request.m_route, {m_runs, m_can_resume, m_deadline - MonotonicNow()});
 }
 
 SlotRequest OnlineRequest::MakeSlotRequest(const SlotQueue& queue) const {
@@ -88,7 +88,7 @@
   slot.m_order.m_latest_start = m_deadline - queue.ServiceTime();
   const Millis now = MonotonicNow();
   const Millis time_left =
-      std::max(slot.m_order.m_latest_start - now, kMinAttemptTime);
+      std::max(slot.m_order.m_latest_start - now, kMinSlotWait);
   slot.m_wait_deadline =
       now + MaxQueueWait(queue.GetState(), time_left,
                          m_request.m_route->m_latency_target);
@@ -185,7 +185,8 @@
   request.m_body = m_request.m_body;
   request.m_request_id = m_request.m_fields.m_request_id;
   request.m_deadline = m_deadline + kDeadlineSlack;
-  if (route.IsRepeatable() && m_runs + 1 < route.m_max_attempts) {
+  if (bronzecross::MayRunAgain(
+          route, {m_runs + 1, m_can_resume, options.m_wait_budget})) {
     request.m_response_timeout = route.m_latency_target * kUnresponsiveFactor;
   }
   const Millis started = MonotonicNow();
