An early answer counts although the upload can't be finished

Callers saw: a replica that answered a long upload early and closed was answered 502, also when its answer was whole, and when it had refused the request as not run.

Cause: a failed write takes the error off a socket; the bytes received before can still be read, and behind them a reset reads as an orderly end. Giving up at the write was the only guard, and it threw the received bytes away.

Change: HttpConnection remembers a failed write and goes on reading. An end that follows it is a reset and completes no response; one with a length or chunks is complete by itself.

--- a/packages/aio/tcp_stream.cc
+++ b/packages/aio/tcp_stream.cc
@@ -145,6 +145,9 @@
     m_write_ready = errno == EINTR;
     return {IoState::kAgain, 0};
   }
+  // What has been received before is still there; reads don't block any more.
+  m_read_ready = true;
+  m_hung_up = true;
   return {IoState::kFailed, 0};
 }
 
--- a/packages/aio/tcp_stream.h
+++ b/packages/aio/tcp_stream.h
@@ -69,8 +69,9 @@
   uint64_t m_id;
   bool m_read_ready = true;
   bool m_write_ready = true;
-  // Set once the peer has closed its sending side. No further event follows, so
-  // m_read_ready stays set until a read reaches the end of the stream.
+  // Set once the peer has closed its sending side, or a write has failed. No
+  // further event follows, so m_read_ready stays set until a read reaches the
+  // end of the stream.
   bool m_hung_up = false;
   Condition m_readable;
   Condition m_writable;
--- a/packages/dispatch/upstream_call.cc
+++ b/packages/dispatch/upstream_call.cc
@@ -175,9 +175,9 @@
           ? kNever
           : MonotonicNow() + request.m_response_timeout;
   for (;;) {
-    if (!m_connection->Flush()) {
-      co_return CallState::kBroken;
-    }
+    // An upstream may respond and close before it has read the whole request.
+    // The response counts, so a failed write alone decides nothing.
+    m_connection->Flush();
     const PumpState pumped = m_connection->Pump();
     if (pumped != PumpState::kAgain) {
       EndFirstByteWait();
@@ -281,9 +281,7 @@
       co_await YieldAfterManyReads();
       co_return CallState::kResponded;
     }
-    if (!m_connection->Flush()) {
-      co_return CallState::kBroken;
-    }
+    m_connection->Flush();
     const PumpState pumped = m_connection->Pump();
     if (pumped == PumpState::kProgress) {
       // Bytes that yield no body, such as chunk extensions, can come without
--- a/packages/http1/http_connection.cc
+++ b/packages/http1/http_connection.cc
@@ -58,21 +58,23 @@
                                                       : PumpState::kProgress;
   }
   if (m_peer_closed) {
-    m_parser.FeedEnd();
-    return PumpState::kEnded;
+    return ReadEnd();
   }
   std::array<char, kReadBytes>& buffer = ReadBuffer();
   const IoResult result = m_stream->Read(buffer);
   switch (result.m_state) {
     case IoState::kAgain:
-      return PumpState::kAgain;
+      if (!m_write_failed) {
+        return PumpState::kAgain;
+      }
+      m_failed = true;
+      return PumpState::kFailed;
     case IoState::kFailed:
       m_failed = true;
       return PumpState::kFailed;
     case IoState::kClosed:
       m_peer_closed = true;
-      m_parser.FeedEnd();
-      return PumpState::kEnded;
+      return ReadEnd();
     case IoState::kOk:
       break;
   }
@@ -83,6 +85,15 @@
                                                     : PumpState::kProgress;
 }
 
+PumpState HttpConnection::ReadEnd() {
+  if (m_write_failed) {
+    m_failed = true;
+    return PumpState::kFailed;
+  }
+  m_parser.FeedEnd();
+  return PumpState::kEnded;
+}
+
 void HttpConnection::StartNextMessage() {
   m_parser.Reset();
   m_fault = ReadFault::kNone;
@@ -142,18 +153,18 @@
         break;
     }
   }
-  return m_failed || m_peer_closed;
+  return m_failed || m_write_failed || m_peer_closed;
 }
 
 bool HttpConnection::Flush() {
-  while (!m_failed && m_sent < m_out.size()) {
+  while (!m_failed && !m_write_failed && m_sent < m_out.size()) {
     const IoResult result =
         m_stream->Write(std::string_view(m_out).substr(m_sent));
     if (result.m_state == IoState::kAgain) {
       return true;
     }
     if (result.m_state != IoState::kOk) {
-      m_failed = true;
+      m_write_failed = true;
       break;
     }
     m_sent += result.m_bytes;
@@ -165,7 +176,7 @@
     m_out.clear();
     m_sent = 0;
   }
-  return !m_failed;
+  return !m_failed && !m_write_failed;
 }
 
 Task<bool> HttpConnection::FlushAll(Millis deadline) {
--- a/packages/http1/http_connection.h
+++ b/packages/http1/http_connection.h
@@ -19,7 +19,7 @@
   kProgress,  // something was parsed
   kAgain,     // no bytes available; wait for Readable()
   kEnded,     // orderly close by the peer, passed on to the parser
-  kFailed,    // reset, or invalid message
+  kFailed,    // reset, invalid message, or an end after a failed write
 };
 
 class HttpConnection {
@@ -58,7 +58,7 @@
   void Queue(std::string_view bytes) { m_out.append(bytes); }
   size_t QueuedBytes() const { return m_out.size() - m_sent; }
   // Sends as much as the socket accepts. Returns false once the connection has
-  // failed.
+  // failed. What the peer has sent before can still be read.
   bool Flush();
   // Sends the whole buffer. Returns false on failure or when `deadline` passes.
   Task<bool> FlushAll(Millis deadline);
@@ -75,6 +75,8 @@
   bool m_is_reused = false;
 
  private:
+  // Handles the end of the incoming bytes.
+  PumpState ReadEnd();
   Task<bool> WaitReadable(Millis deadline);
   // Returns whether what has been read is inside the bounds, and sets m_fault
   // otherwise.
@@ -92,6 +94,10 @@
   std::string m_out;
   size_t m_sent = 0;
   bool m_failed = false;
+  // A write has failed. That takes the error off the socket: from then on, a
+  // reset connection reads as if the peer had closed it in order. Invariant: an
+  // end that is read after this is never passed on to the parser.
+  bool m_write_failed = false;
   bool m_peer_closed = false;
   ReadBounds m_bounds;
   ReadFault m_fault = ReadFault::kNone;
--- a/standins/platform_operator_standin.cc
+++ b/standins/platform_operator_standin.cc
@@ -136,6 +136,11 @@
   Publish(version);
 }
 
+void PlatformOperatorStandin::PublishBodyLimit(int version, int64_t bytes) {
+  m_config["limits"]["maxBodyBytes"] = bytes;
+  Publish(version);
+}
+
 void PlatformOperatorStandin::PublishWorkspaces(int version,
                                                 const json& workspaces) {
   m_config["tenants"] = workspaces;
--- a/standins/platform_operator_standin.h
+++ b/standins/platform_operator_standin.h
@@ -37,6 +37,8 @@
                     const std::string& name,
                     const nlohmann::json& changes);
   void PublishWithoutRoute(int version, const std::string& name);
+  // Sets the maximum size of a caller's body.
+  void PublishBodyLimit(int version, int64_t bytes);
   // Replaces the workspaces; with an empty list no request needs a key.
   void PublishWorkspaces(int version, const nlohmann::json& workspaces);
   // Evacuates an availability zone, and withdraws that.
--- a/standins/raw_replica_standin.cc
+++ b/standins/raw_replica_standin.cc
@@ -17,6 +17,10 @@
 // Interval at which threads look whether the stand-in was stopped.
 constexpr int kPollMs = 50;
 
+// Size of the receive buffers. A long request doesn't fit, so its caller is
+// still writing it while it isn't read.
+constexpr int kReceiveBytes = 8'192;
+
 constexpr std::string_view kIdField = "\r\nRequest-Id: ";
 
 // Returns the request's id; empty if the head is incomplete.
@@ -57,6 +61,8 @@
     std::abort();
   }
   m_listener = *listener;
+  setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBytes,
+             sizeof(kReceiveBytes));
   m_acceptor = std::thread([this] { Accept(); });
 }
 
@@ -83,7 +89,12 @@
     if (fd >= 0) {
       ++m_open;
       m_threads.emplace_back([this, fd] {
-        Serve(fd);
+        const RawReplicaScript script = CurrentScript();
+        Serve(fd, script);
+        if (script.m_resets) {
+          const linger option = {1, 0};
+          setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+        }
         close(fd);
         --m_open;
       });
@@ -91,7 +102,17 @@
   }
 }
 
-void RawReplicaStandin::Serve(int fd) {
+void RawReplicaStandin::SetScript(const RawReplicaScript& script) {
+  absl::MutexLock lock(&m_mutex);
+  m_script = script;
+}
+
+RawReplicaScript RawReplicaStandin::CurrentScript() {
+  absl::MutexLock lock(&m_mutex);
+  return m_script;
+}
+
+void RawReplicaStandin::Serve(int fd, const RawReplicaScript& script) {
   std::string received;
   std::string to_send;
   size_t sent_bytes = 0;
@@ -103,7 +124,11 @@
     if (!WaitFor(fd, is_sending ? POLLIN | POLLOUT : POLLIN) && is_sending) {
       continue;
     }
-    const ssize_t count = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    ssize_t count = -1;
+    errno = EAGAIN;
+    if (!has_request || !script.m_ignores_body) {
+      count = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    }
     if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR)) {
       return;
     }
@@ -113,26 +138,27 @@
       if (!id.empty()) {
         has_request = true;
         ++m_requests;
-        if (m_script.m_stops_listening) {
+        if (script.m_stops_listening) {
           m_listens = false;
           shutdown(m_listener, SHUT_RDWR);
         }
         m_later_requests += first_id.empty() ? 0 : 1;
-        to_send = Replace(
-            first_id.empty() ? m_script.m_begin : m_script.m_later, "{id}", id);
+        SleepFor(script.m_delay);
+        to_send = Replace(first_id.empty() ? script.m_begin : script.m_later,
+                          "{id}", id);
         to_send = Replace(to_send, "{first}", first_id);
         first_id = first_id.empty() ? id : first_id;
       }
     }
     if (has_request && to_send.empty()) {
-      if (m_script.m_repeated.empty()) {
-        if (m_script.m_closes) {
+      if (script.m_repeated.empty()) {
+        if (script.m_closes) {
           return;
         }
         continue;
       }
-      SleepFor(m_script.m_pause);
-      to_send = m_script.m_repeated;
+      SleepFor(script.m_pause);
+      to_send = script.m_repeated;
     }
     while (sent_bytes < to_send.size()) {
       const ssize_t sent =
@@ -147,7 +173,7 @@
       sent_bytes += static_cast<size_t>(sent);
     }
     if (sent_bytes == to_send.size()) {
-      if (has_request && sent_bytes > 0 && !m_script.m_later.empty()) {
+      if (has_request && sent_bytes > 0 && !script.m_later.empty()) {
         has_request = false;
         received.clear();
       }
--- a/standins/raw_replica_standin.h
+++ b/standins/raw_replica_standin.h
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include <absl/synchronization/mutex.h>
+
 #include "base/clock.h"
 #include "base/net_address.h"
 
@@ -24,9 +26,15 @@
   std::string m_repeated;
   // Pause before each repetition.
   Millis m_pause;
+  // Time between a request and m_begin.
+  Millis m_delay;
   // Whether the connection ends after the repetitions so far if m_repeated is
   // empty.
   bool m_closes = false;
+  // Whether it ends with a reset instead of a close.
+  bool m_resets = false;
+  // Whether nothing is read after the head of a request.
+  bool m_ignores_body = false;
   // Whether connections are refused once a request has arrived, as after a
   // crash.
   bool m_stops_listening = false;
@@ -39,6 +47,9 @@
   RawReplicaStandin(const RawReplicaStandin&) = delete;
   RawReplicaStandin& operator=(const RawReplicaStandin&) = delete;
 
+  // Takes effect with the next connection.
+  void SetScript(const RawReplicaScript& script);
+
   const NetAddress& Address() const { return m_address; }
   int Requests() const { return m_requests; }
   // Number of requests on connections that had carried one before.
@@ -48,9 +59,11 @@
 
  private:
   void Accept();
-  void Serve(int fd);
+  RawReplicaScript CurrentScript();
+  void Serve(int fd, const RawReplicaScript& script);
 
-  const RawReplicaScript m_script;
+  absl::Mutex m_mutex;
+  RawReplicaScript m_script ABSL_GUARDED_BY(m_mutex);
   int m_listener = -1;
   NetAddress m_address;
   std::atomic<bool> m_stopped = false;
