A response without a valid status is no answer

Callers saw: a replica's answers with the statuses 600 and 999 reached callers of the gateway on routes of every kind, and 0200 as 200; an item that was answered 0422 was given up; the daemon passed on 000 and others.

Cause: both HTTP libraries accept more than the protocol allows, and their results were believed.

Change: base/status_line checks the first line of a response for the parser of the gateway and the client of the daemon: three digits from 100 to 599, not 101, as nothing here asks for another protocol. Anything else is a broken answer.

--- a/packages/http/curl_session.cc
+++ b/packages/http/curl_session.cc
@@ -10,6 +10,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "base/status_line.h"
+
 namespace bronzecross {
 namespace {
 
@@ -53,6 +55,7 @@
   m_headers.clear();
   m_status = 0;
   m_header_done = false;
+  m_header_error = {};
   m_done = false;
   m_watching = call.m_watch_fd >= 0;
 
@@ -192,6 +195,10 @@
 }
 
 Error CurlSession::TransferError(int curl_code) {
+  if (!m_header_error.empty()) {
+    return Error{ResultCode::kUpstreamFailed, std::string(m_header_error),
+                 GetRunState()};
+  }
   const CURLcode code = static_cast<CURLcode>(curl_code);
   ResultCode result = ResultCode::kUpstreamFailed;
   if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -223,10 +230,13 @@
   CurlSession* session = static_cast<CurlSession*>(self);
   const std::string_view line(data, size * count);
   if (line.starts_with("HTTP/")) {
+    const std::optional<int> status = ParseStatus(line);
+    if (!status) {
+      session->m_header_error = "the response has no valid status";
+      return 0;
+    }
     session->m_headers.clear();
-    long status = 0;
-    curl_easy_getinfo(session->m_easy, CURLINFO_RESPONSE_CODE, &status);
-    session->m_status = static_cast<int>(status);
+    session->m_status = *status;
   } else if (Trim(line).empty()) {
     // A 1xx response is followed by the header of the final response.
     session->m_header_done = session->m_status >= 200;
--- a/packages/http/curl_session.h
+++ b/packages/http/curl_session.h
@@ -63,7 +63,10 @@
   std::optional<Status> m_failure;
   int m_status = 0;
   bool m_active = false;
+  // Whether the head of the final response is complete.
   bool m_header_done = false;
+  // Why the head of the response was rejected; empty: it wasn't.
+  std::string_view m_header_error;
   bool m_done = false;
   // Whether the caller's socket is polled for hang-up. Cleared when the socket
   // has unread bytes, since polling it would then never block.
--- a/packages/http1/http1_test.cc
+++ b/packages/http1/http1_test.cc
@@ -80,6 +80,48 @@
   CHECK(parser.GetState() == ParseState::kFailed);
 }
 
+// Guards against a response whose status is none: 000, or one of another number
+// of digits.
+TEST_CASE("a response has a status of three digits from 100 to 599") {
+  const auto parse = [](std::string_view line, size_t step) {
+    MessageParser parser(MessageKind::kResponse);
+    const std::string bytes =
+        std::string(line) + "\r\nContent-Length: 0\r\n\r\n";
+    size_t at = 0;
+    while (at < bytes.size() && parser.GetState() != ParseState::kFailed &&
+           parser.GetState() != ParseState::kComplete) {
+      at += parser.Feed(std::string_view(bytes).substr(at, step));
+    }
+    return parser.GetState();
+  };
+  for (size_t step = 1; step < 20; ++step) {
+    for (const char* line : {"HTTP/1.1 100", "HTTP/1.1 200 OK", "HTTP/1.0 204 ",
+                             "HTTP/1.1 599 x", "\r\nHTTP/1.1 200 OK"}) {
+      CAPTURE(line);
+      CHECK(parse(line, step) == ParseState::kComplete);
+    }
+    for (const char* line :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 0 OK", "HTTP/1.1 20 OK",
+          "HTTP/1.1 099 OK", "HTTP/1.1 101 OK", "HTTP/1.1 600 OK",
+          "HTTP/1.1 999 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK",
+          "HTTP/1.1  200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK"}) {
+      CAPTURE(line);
+      CHECK(parse(line, step) == ParseState::kFailed);
+    }
+  }
+}
+
+TEST_CASE("a response that ends inside its head fails") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Mark: s\r\n\r\n";
+  for (size_t bytes = 0; bytes < head.size(); ++bytes) {
+    CAPTURE(bytes);
+    MessageParser parser(MessageKind::kResponse);
+    parser.Feed(std::string_view(head).substr(0, bytes));
+    parser.FeedEnd();
+    CHECK(parser.GetState() == ParseState::kFailed);
+  }
+}
+
 TEST_CASE("query values are percent-encoded and decoded") {
   CHECK(QueryValue("/p?a=1&b=x%2Fy%20z", "b") == "x/y z");
   CHECK(QueryValue("/p?a=1", "b") == std::nullopt);
--- a/packages/http1/message_parser.cc
+++ b/packages/http1/message_parser.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "base/status_line.h"
+
 namespace bronzecross {
 namespace {
 
@@ -25,6 +27,8 @@
   int64_t m_content_length = -1;
   bool m_is_framed = true;
   size_t m_head_bytes = 0;
+  // The first bytes of a response, at most kStatusLineBytes.
+  std::string m_start;
   // Bytes of the target, the reason, and the names and values of fields.
   size_t m_text_bytes = 0;
 
@@ -43,10 +47,25 @@
     m_content_length = -1;
     m_is_framed = true;
     m_head_bytes = 0;
+    m_start.clear();
     m_text_bytes = 0;
   }
 
-  void OnHeadersComplete() {
+  // Collects the first bytes of a response for ParseStatus(). Line ends
+  // before them are skipped, as the library does.
+  void CollectStart(std::string_view bytes) {
+    for (const char c : bytes) {
+      if (m_start.size() == kStatusLineBytes) {
+        return;
+      }
+      if (!m_start.empty() || (c != '\r' && c != '\n')) {
+        m_start.push_back(c);
+      }
+    }
+  }
+
+  // Returns false if the message is invalid.
+  bool OnHeadersComplete() {
     m_state = ParseState::kBody;
     m_keep_alive = http_should_keep_alive(&m_parser) != 0;
     // The library uses the maximum value for a missing Content-Length.
@@ -62,7 +81,9 @@
                                m_head.m_status == 204 || m_head.m_status == 304;
       m_is_framed = has_no_body || (m_parser.flags & F_CHUNKED) != 0 ||
                     m_content_length >= 0;
+      return ParseStatus(m_start) == m_head.m_status;
     }
+    return true;
   }
 };
 
@@ -118,7 +139,9 @@
     };
     s.on_headers_complete = [](http_parser* p) {
       State& self = *static_cast<State*>(p->data);
-      self.OnHeadersComplete();
+      if (!self.OnHeadersComplete()) {
+        return -1;
+      }
       return self.m_no_body ? 1 : 0;
     };
     s.on_body = [](http_parser* p, const char* at, size_t n) {
@@ -138,6 +161,9 @@
     return 0;
   }
   const bool in_head = self.m_state == ParseState::kHead;
+  if (in_head && self.m_type == HTTP_RESPONSE) {
+    self.CollectStart(bytes);
+  }
   size_t used = http_parser_execute(&self.m_parser, &kSettings, bytes.data(),
                                     bytes.size());
   const http_errno error = HTTP_PARSER_ERRNO(&self.m_parser);
--- a/packages/http1/message_parser.h
+++ b/packages/http1/message_parser.h
@@ -1,5 +1,5 @@
 // Incremental HTTP/1.1 parser for one direction of a connection, based on the
-// http-parser library.
+// http-parser library. Responses must have a status that ParseStatus() accepts.
 
 #ifndef BRONZECROSS_HTTP1_MESSAGE_PARSER_H_
 #define BRONZECROSS_HTTP1_MESSAGE_PARSER_H_
--- a/tests/integration/gateway_broken_answers_test.cc
+++ b/tests/integration/gateway_broken_answers_test.cc
@@ -196,5 +196,65 @@
   CHECK(replica.Raw().Requests() > 10);
 }
 
+// Guards against bytes that are no status and reach the caller as one.
+TEST_CASE("an answer without a valid final status is no answer") {
+  BrokenReplica replica;
+  for (const std::string& target : kTargets) {
+    for (const std::string status :
+         {"000", "0", "20", "99", "100", "101", "103", "199", "600", "999",
+          "0200", "00200", "1000", "2000", "20000", "-200", "2x0", "",
+          " 200"}) {
+      for (const bool has_length : {false, true}) {
+        CAPTURE(target);
+        CAPTURE(status);
+        CAPTURE(has_length);
+        const RawReplicaScript script = BrokenReplica::Script(
+            Concat("HTTP/1.1 ", status, " OK\r\n", kFields,
+                   has_length ? "Content-Length: 2\r\n" : "", "\r\nok"));
+        CHECK(replica.CallWith(script, target, "question").m_status ==
+              kBadGateway);
+      }
+    }
+    for (const int status : {200, 299, 302, 404, 422, 500, 599}) {
+      CAPTURE(status);
+      const RawReplicaScript script =
+          BrokenReplica::Script(Concat("HTTP/1.1 ", status, " X\r\n", kFields,
+                                       "Content-Length: 2\r\n\r\nok"));
+      CHECK(replica.CallWith(script, target, "question").m_status == status);
+    }
+  }
+}
+
+// Guards against a final result of an item that was made of a broken answer.
+TEST_CASE("broken answers don't finish the items of jobs") {
+  BrokenReplica replica;
+  int jobs = 0;
+  for (const std::string& answer :
+       {std::string("HTTP/1.1 600 X\r\n"), std::string("HTTP/1.1 000 X\r\n"),
+        std::string("HTTP/1.1 0422 X\r\n")}) {
+    replica.Raw().SetScript(BrokenReplica::Script(
+        Concat(answer, kFields, "Content-Length: 2\r\n\r\nok")));
+    GatewayRequest job;
+    job.m_target = "/batch/jobs";
+    job.m_id = Concat("job", ++jobs);
+    job.m_body = PlatformJobBody(job.m_id, 1);
+    const int before = replica.Raw().Requests();
+    CHECK(replica.Cluster().Call(job).m_status == 202);
+    CHECK(WaitFor([&] { return replica.Raw().Requests() > before + 1; },
+                  Millis(20'000)));
+    GatewayRequest read;
+    read.m_method = "GET";
+    read.m_target = PlatformResultsPath(job.m_id);
+    read.m_body = "";
+    const nlohmann::json page = nlohmann::json::parse(
+        replica.Cluster().Call(read).m_body, nullptr, false);
+    REQUIRE(page.is_object());
+    CHECK(page["results"].empty());
+    read.m_method = "DELETE";
+    read.m_target = PlatformJobPath(job.m_id);
+    CHECK(replica.Cluster().Call(read).m_status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace bronzecross
