The daemon takes no answer whose head is incomplete or without end

Callers saw: an upstream that stopped in the middle of its answer's head was answered 200 with an empty body, framed as whole. Heads, interim responses and trailers without end were kept in memory until the time limit of the call.

Cause: the client took the end of the transfer for the end of the head. libcurl ends a transfer without an error if some of the head has arrived.

Change: only the empty line ends the head. The heads and the trailer of one response are bounded by 256 KB.

--- a/packages/http/curl_session.cc
+++ b/packages/http/curl_session.cc
@@ -18,6 +18,10 @@
 // Maximum duration of one poll.
 constexpr int kMaxPollMs = 1000;
 
+// Maximum size of the heads of a response, of the interim ones before it and of
+// its trailer together.
+constexpr size_t kMaxHeaderBytes = 256 << 10;
+
 void InitCurlOnce() {
   static std::once_flag once;
   std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -55,6 +59,7 @@
   m_headers.clear();
   m_status = 0;
   m_header_done = false;
+  m_header_bytes = 0;
   m_header_error = {};
   m_done = false;
   m_watching = call.m_watch_fd >= 0;
@@ -139,8 +144,12 @@
       if (message->data.result != CURLE_OK) {
         return tl::unexpected<Error>(TransferError(message->data.result));
       }
+      if (!m_header_done) {
+        return tl::unexpected<Error>(
+            Error{ResultCode::kUpstreamFailed,
+                  "the head of the response is incomplete", GetRunState()});
+      }
       m_done = true;
-      m_header_done = true;
     }
   }
   if (m_done || !m_buffer.empty()) {
@@ -214,7 +223,6 @@
 
 size_t CurlSession::OnBody(char* data, size_t size, size_t count, void* self) {
   CurlSession* session = static_cast<CurlSession*>(self);
-  session->m_header_done = true;
   if (session->m_buffer.size() + size * count >
       session->m_call.m_max_answer_bytes) {
     return 0;
@@ -229,6 +237,14 @@
                              void* self) {
   CurlSession* session = static_cast<CurlSession*>(self);
   const std::string_view line(data, size * count);
+  session->m_header_bytes += line.size();
+  if (session->m_header_bytes > kMaxHeaderBytes) {
+    session->m_header_error = "the head of the response is too large";
+    return 0;
+  }
+  if (session->m_header_done) {
+    return size * count;  // a trailer
+  }
   if (line.starts_with("HTTP/")) {
     const std::optional<int> status = ParseStatus(line);
     if (!status) {
--- a/packages/http/curl_session.h
+++ b/packages/http/curl_session.h
@@ -65,6 +65,7 @@
   bool m_active = false;
   // Whether the head of the final response is complete.
   bool m_header_done = false;
+  size_t m_header_bytes = 0;  // also of interim responses and trailers
   // Why the head of the response was rejected; empty: it wasn't.
   std::string_view m_header_error;
   bool m_done = false;
