A stopping VM answers every request that it has taken

Callers saw: requests that came late in the grace of a planned stop were passed on, and cut without an answer at its end, requests that may run once among them.

Cause: nothing related what a draining VM takes to the time that is left, and the end of the drain had no meaning to a request.

Once the load balancer has noticed, a request whose deadline lies behind the end of the drain is rejected at once as not run. At the end, requests in progress are answered: 503 if they weren't sent, 502 if they may have run.

--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -39,6 +39,10 @@
 // Retry-After time for requests for which there is no memory.
 constexpr Millis kNoMemoryRetryAfter{500};
 
+// Retry-After time for requests that a stopping VM rejects. Other VMs can serve
+// them at once.
+constexpr Millis kDrainRetryAfter{10};
+
 // Group of the memory budget for callers without a workspace.
 constexpr std::string_view kAnonymousGroup;
 
@@ -140,6 +144,41 @@
   int& m_count;
 };
 
+// Lists a connection in Node::m_served_callers for the lifetime of this object.
+class ScopedServedCaller {
+ public:
+  ScopedServedCaller(Node& node, HttpConnection& caller)
+      : m_node(node), m_condition(&caller.Readable()) {
+    m_node.m_served_callers.insert(m_condition);
+  }
+  ~ScopedServedCaller() { m_node.m_served_callers.erase(m_condition); }
+  ScopedServedCaller(const ScopedServedCaller&) = delete;
+  ScopedServedCaller& operator=(const ScopedServedCaller&) = delete;
+
+ private:
+  Node& m_node;
+  Condition* m_condition;
+};
+
+// Returns the time until which a request that may be served can take.
+Millis LatestEnd(const IncomingRequest& request) {
+  if (request.m_route == nullptr ||
+      request.m_route->m_kind == RouteKind::kBatch) {
+    return JobCallDeadline(request);
+  }
+  const Millis timeout = request.m_route->m_timeout;
+  return request.m_arrived +
+         std::min(timeout, request.m_fields.m_wait_budget.value_or(timeout));
+}
+
+// Returns whether this VM is draining and can't serve the request any more.
+bool IsTooLateForDrain(const Node& node, const IncomingRequest& request) {
+  return node.m_is_stopping ||
+         (node.m_draining_since != Millis() &&
+          ShouldRejectInDrain(node.m_drain, MonotonicNow(),
+                              LatestEnd(request)));
+}
+
 // Waits for the first byte of a request. Returns false if the connection should
 // be closed: the caller closed it, or it was idle for too long.
 Task<bool> WaitForRequest(Node& node, HttpConnection& caller) {
@@ -272,6 +311,12 @@
     RejectRequest(node, caller, request, allowed.error());
     co_return true;
   }
+  if (IsTooLateForDrain(node, request)) {
+    RejectRequest(node, caller, request,
+                  MakeError(ResultCode::kDraining, "the VM is stopping",
+                            kDrainRetryAfter));
+    co_return true;
+  }
   if (request.m_job_call.m_kind != platform::JobCallKind::kNone) {
     const CallerReply reply = co_await ServeJobCall(node, request);
     QueueReply(node, caller, request, reply);
@@ -283,7 +328,7 @@
     co_return true;
   }
   if (request.m_workspace != nullptr) {
-    CallerCancellation cancellation(caller);
+    CallerCancellation cancellation(caller, node.m_is_stopping);
     const Status admitted =
         co_await node.m_quotas.Admit(MakeTokenRequest(request, MonotonicNow()),
                                      *request.m_workspace, cancellation);
@@ -328,7 +373,11 @@
     }
     entry.SetClosable(false);
     const bool keep_alive = caller.Parser().MayKeepAlive();
-    const bool has_response = co_await ServeRequest(node, caller, request);
+    bool has_response = false;
+    {
+      const ScopedServedCaller served(node, caller);
+      has_response = co_await ServeRequest(node, caller, request);
+    }
     if (!has_response) {
       co_return;
     }
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -37,10 +37,6 @@
 // Interval between queries to the seeds while no other VM is known.
 constexpr Millis kSeedInterval{1'000};
 
-// During a drain, the listener stays open for this long. The load balancer
-// checks once per second and removes a VM after two failed checks.
-constexpr Millis kDrainNotice{2'600};
-
 // Time for requests to arrive on the connections that were accepted last.
 constexpr Millis kLateArrivalTime{150};
 
@@ -387,15 +383,16 @@
   Log(Severity::kInfo, LogPart::kMain, "Draining.",
       {{"callers", m_node.m_caller_connections},
        {"requests", m_node.m_requests_in_progress}});
+  const Millis limit = started + m_node.m_settings.m_drain_limit - kExitMargin;
   m_node.m_draining_since = started;
+  m_node.m_drain = MakeDrainTimes(started, limit);
   m_node.m_drain_started.NotifyAll();
   m_jobs.Drain();
   for (PrefixFollower* follower :
        {&m_operator_follower, &m_upstream_follower, &m_vm_follower}) {
     follower->StopSharing();
   }
-  const Millis limit = started + m_node.m_settings.m_drain_limit - kExitMargin;
-  co_await WaitAny(std::min(limit, started + kDrainNotice));
+  co_await WaitAny(m_node.m_drain.m_noticed);
   // New connections are rejected from here on, so that none is cut off when the
   // process exits.
   m_caller_listener->AcceptPending();
@@ -411,6 +408,7 @@
       co_await Sleep(kDrainPollInterval);
     }
   }
+  m_node.EndRequests();
   if (!released) {
     co_await m_jobs.Scheduler().ReleaseAll(MonotonicNow() + kReleaseTimeout);
   }
--- a/packages/gateway/incoming_request.h
+++ b/packages/gateway/incoming_request.h
@@ -38,16 +38,22 @@
   }
 };
 
-// Cancels work once the caller has closed its connection.
+// Cancels work once the caller has closed its connection, or `is_stopping` is
+// set and the condition of Changed() notified.
 class CallerCancellation : public Cancellation {
  public:
-  explicit CallerCancellation(HttpConnection& caller) : m_caller(caller) {}
+  // The arguments must outlive this object.
+  CallerCancellation(HttpConnection& caller, const bool& is_stopping)
+      : m_caller(caller), m_is_stopping(is_stopping) {}
 
-  bool IsCancelled() override { return m_caller.HasPeerClosed(); }
+  bool IsCancelled() override {
+    return m_is_stopping || m_caller.HasPeerClosed();
+  }
   Condition& Changed() override { return m_caller.Readable(); }
 
  private:
   HttpConnection& m_caller;
+  const bool& m_is_stopping;
 };
 
 }  // namespace bronzecross
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -141,6 +141,13 @@
   }
 }
 
+void Node::EndRequests() {
+  m_is_stopping = true;
+  for (Condition* const condition : m_served_callers) {
+    condition->NotifyAll();
+  }
+}
+
 bool Node::IsReady() const {
   return m_config != nullptr && m_upstreams.IsLoaded() &&
          m_draining_since == Millis();
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,7 @@
 #include "dispatch/slot_queue.h"
 #include "dispatch/upstream_table.h"
 #include "fleet/fleet_config.h"
+#include "gateway/drain_rule.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/process_bounds.h"
 #include "gateway/refusal_log.h"
@@ -62,6 +64,9 @@
   std::function<void()> ConnectionCloser(std::string_view listener);
   // Counts a request that was refused because of a bound, if one was.
   void CountRefusal(ReadFault fault);
+  // Ends the requests in progress, each with a response that says whether it
+  // may have run.
+  void EndRequests();
   // Returns whether the load balancer may send callers to this VM.
   bool IsReady() const;
 
@@ -103,6 +108,13 @@
   // When the drain started; zero before that.
   Millis m_draining_since;
   Condition m_drain_started;
+  DrainTimes m_drain;  // set with m_draining_since
+  // Whether the drain has ended: requests in progress end with a response at
+  // once.
+  bool m_is_stopping = false;
+  // What to notify when m_is_stopping is set, one for each connection that is
+  // being served.
+  std::set<Condition*> m_served_callers;
   int m_caller_connections = 0;  // open connections of callers
   int m_requests_in_progress = 0;
   // Size of the large responses that are read before they are relayed.
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -54,7 +54,7 @@
     : m_node(node),
       m_caller(caller),
       m_request(request),
-      m_cancellation(caller),
+      m_cancellation(caller, node.m_is_stopping),
       m_service(PickService(*request.m_route, ThreadRandom())) {
   const Millis timeout = request.m_route->m_timeout;
   m_fingerprint = RequestFingerprint(
@@ -125,8 +125,7 @@
       if (upstream != nullptr) {
         queue.Release(*upstream, Tokens());
       }
-      LogEnd("caller_left", 0);
-      co_return ServeResult::kAbandoned;
+      co_return EndCancelled();
     }
     if (upstream == nullptr) {
       co_return RejectWithoutSlot(queue);
@@ -146,9 +145,8 @@
       queue.RecordServiceTime(MonotonicNow() - started);
       co_return ServeResult::kResponded;
     }
-    if (end == AttemptResult::kCallerLeft) {
-      LogEnd("caller_left", 0);
-      co_return ServeResult::kAbandoned;
+    if (end == AttemptResult::kCancelled) {
+      co_return EndCancelled();
     }
     if (end == AttemptResult::kFailed) {
       if (MonotonicNow() >= m_deadline) {
@@ -211,7 +209,8 @@
     case CallState::kUnsendable:
       co_return AttemptResult::kFailed;
     case CallState::kCancelled:
-      co_return AttemptResult::kCallerLeft;
+      ++m_runs;
+      co_return AttemptResult::kCancelled;
     case CallState::kTimedOut:
       ++m_runs;
       co_return AttemptResult::kFailed;
@@ -258,7 +257,7 @@
     CallState state =
         co_await call.ReadBody(body, m_deadline + kDeadlineSlack, nullptr);
     if (state == CallState::kCancelled) {
-      co_return AttemptResult::kCallerLeft;
+      co_return AttemptResult::kCancelled;
     }
     const BufferedResponse::Verdict verdict =
         buffered.Update(body.size(), body.capacity());
@@ -384,7 +383,7 @@
     std::string bytes;
     const CallState state = co_await call.ReadBody(bytes, deadline, nullptr);
     if (state == CallState::kCancelled) {
-      co_return AttemptResult::kCallerLeft;
+      co_return AttemptResult::kCancelled;
     }
     if (state == CallState::kTimedOut) {
       co_return AttemptResult::kFailed;
@@ -444,11 +443,11 @@
     if (m_caller.QueuedBytes() > max_queued) {
       const bool sent = co_await m_caller.FlushAll(deadline);
       if (!sent) {
-        co_return AttemptResult::kCallerLeft;
+        co_return AttemptResult::kCancelled;
       }
       pace = PaceMeter();  // the wait for the caller isn't the upstream's
     } else if (!m_caller.Flush()) {
-      co_return AttemptResult::kCallerLeft;
+      co_return AttemptResult::kCancelled;
     }
   }
   const bool is_unframed = call.EndsWithConnection();
@@ -477,6 +476,15 @@
   return ServeResult::kResponded;
 }
 
+ServeResult OnlineRequest::EndCancelled() {
+  if (m_caller.HasPeerClosed()) {
+    LogEnd("caller_left", 0);
+    return ServeResult::kAbandoned;
+  }
+  return Reject(ResultCode::kDraining,
+                "the VM stops before the request has ended", Millis());
+}
+
 ServeResult OnlineRequest::RejectWithoutSlot(SlotQueue& queue) {
   const QueueState state = queue.GetState();
   Log(Severity::kInfo, LogPart::kRouting, "No slot for the request.",
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -35,7 +35,7 @@
     kDelivered,   // the complete response was queued for the caller
     kTryAnother,  // another upstream may be tried
     kFailed,      // no further attempt is allowed
-    kCallerLeft,  // the caller has left
+    kCancelled,   // the caller has left, or the VM stops
   };
 
   Task<AttemptResult> RunAttempt(UpstreamPtr upstream);
@@ -66,6 +66,8 @@
   ServeResult Reject(ResultCode code,
                      std::string_view message,
                      Millis retry_after);
+  // Ends a request that was cancelled: rejects it unless the caller has left.
+  ServeResult EndCancelled();
   // Rejects the request with kOverloaded.
   ServeResult RejectWithoutSlot(SlotQueue& queue);
   void LogAttempt(const Upstream& upstream, CallState state, int status) const;
--- a/packages/gateway/peer_server.cc
+++ b/packages/gateway/peer_server.cc
@@ -116,7 +116,7 @@
     QueueReply(peer, MakeHead(404), "");
     co_return;
   }
-  CallerCancellation cancellation(peer);
+  CallerCancellation cancellation(peer, node.m_is_stopping);
   const Status admitted = co_await node.m_quotas.AdmitForPeer(
       std::move(*request), *workspace, cancellation);
   if (!admitted && admitted.error().m_code != ResultCode::kRateLimited) {
