What a VM holds and writes for a submission is bounded

Cause: the decoder built a JSON document of the whole body; the creation of a job was repeated until the store accepted it, and 413 counted as a write of unknown effect. The missing invariant: what a VM may hold and write for one request is bounded before it is taken.

Definite rejections by the store aren't repeated. A job that is handed over lists only results that fit into one value.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -115,7 +115,8 @@
                        : found->second.GetState().m_waiting;
           },
           [this] { return m_hears_fleet; }, [this] { m_gossip.SendSoon(); },
-          m_node.m_settings.m_placement, m_node.m_settings.m_result_retention}),
+          m_node.m_settings.m_placement, m_node.m_settings.m_store_value_bytes,
+          m_node.m_settings.m_result_retention}),
       m_reload(std::move(reload)) {
   m_node.m_gossip = &m_gossip;
   m_node.m_jobs = &m_jobs;
--- a/packages/gateway/gateway_settings.cc
+++ b/packages/gateway/gateway_settings.cc
@@ -13,6 +13,10 @@
 constexpr int64_t kMinMs = 100;
 constexpr int64_t kMaxMs = 24 * 3'600'000;
 
+// Bounds of the size of the store's values.
+constexpr int64_t kMinValueBytes = 1 << 10;
+constexpr int64_t kMaxValueBytes = 64 << 20;
+
 // Bounds of the settings for cold upstreams.
 constexpr double kMaxColdOver = 100;
 constexpr double kMaxColdSlack = 100'000;
@@ -118,6 +122,9 @@
   settings.m_store = ReadAddress(store, "address");
   settings.m_store_history = Millis(store.GetInt(
       "history_ms", settings.m_store_history.count(), kMinMs, kMaxMs));
+  settings.m_store_value_bytes = static_cast<size_t>(store.GetInt(
+      "value_bytes", static_cast<int64_t>(settings.m_store_value_bytes),
+      kMinValueBytes, kMaxValueBytes));
   store.Finish();
   TomlTable cluster(root.GetTable("cluster"), faults);
   for (const std::string& seed : cluster.GetStrings("seeds")) {
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -25,6 +25,7 @@
   NetAddress m_metrics;
   NetAddress m_store;
   Millis m_store_history{20'000};  // how long the store keeps its history
+  size_t m_store_value_bytes = 1'048'576;  // maximum size of a value
   std::vector<NetAddress> m_seeds;
   Millis m_drain_limit{7'000};         // maximum duration of a stop
   Millis m_result_retention{120'000};  // of finished jobs, since submission
--- a/packages/gateway/job_submission.cc
+++ b/packages/gateway/job_submission.cc
@@ -12,6 +12,7 @@
 #include "jobs/job_placement.h"
 #include "jobs/job_service.h"
 #include "placement/home_regions.h"
+#include "platform/submission_decoder.h"
 
 namespace bronzecross {
 namespace {
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -24,33 +24,17 @@
 constexpr Millis kScheduleInterval{100};
 
 // Partial outputs are saved at most once in this interval, and only after this
-// many new events. If the VM is lost, its items repeat that much work.
+// many new events. If the VM is lost, its items repeat that
+// much work.
 constexpr Millis kSaveInterval{3'000};
 constexpr int64_t kMinSavedEvents = 60;
 
 // Milliseconds for one event of an inference engine without a measured value.
 constexpr double kDefaultEventMs = 32;
 
-// Maximum bytes of output that are listed in one write. The store limits a
-// value to one megabyte.
-constexpr size_t kMaxGroupBytes = 400 << 10;
-
 // Wait for cancelled runs to end.
 constexpr Millis kCancelWait{10};
 
-// Returns the number of results for the next group: as many as fit into
-// kMaxGroupBytes, at least one if there are any.
-size_t GroupSize(const std::vector<JobResult>& results) {
-  size_t bytes = 0;
-  for (size_t i = 0; i < results.size(); ++i) {
-    bytes += results[i].m_output.size();
-    if (bytes > kMaxGroupBytes && i > 0) {
-      return i;
-    }
-  }
-  return results.size();
-}
-
 }  // namespace
 
 std::string ItemScheduler::SelectServiceFor(const Job& job) const {
@@ -212,7 +196,7 @@
 Task<> ItemScheduler::CommitTask(JobPtr job) {
   job->m_is_committing = true;
   job->m_last_commit = MonotonicNow();
-  const size_t count = GroupSize(job->m_unlisted);
+  const size_t count = ResultGroupSize(job->m_unlisted);
   const WriteOutcome outcome = co_await m_store.Commit(*job, count);
   job->m_is_committing = false;
   if (outcome != WriteOutcome::kApplied) {
--- a/packages/jobs/job.cc
+++ b/packages/jobs/job.cc
@@ -15,6 +15,10 @@
 // length.
 constexpr int64_t kDefaultEvents = 150;
 
+// Maximum bytes of output that are listed in one write. The store limits a
+// value to one megabyte.
+constexpr size_t kMaxGroupBytes = 400 << 10;
+
 int64_t ExpectedEvents(const JobItem& item) {
   const int64_t tokens = platform::ExpectedOutputTokens(item.m_fields);
   return tokens > 0 ? tokens / kTokensPerEvent : kDefaultEvents;
@@ -109,6 +113,17 @@
   }
 }
 
+size_t ResultGroupSize(std::span<const JobResult> results) {
+  size_t bytes = 0;
+  for (size_t i = 0; i < results.size(); ++i) {
+    bytes += results[i].m_output.size();
+    if (bytes > kMaxGroupBytes && i > 0) {
+      return i;
+    }
+  }
+  return results.size();
+}
+
 void FinishItem(Job& job, size_t item, JobResultState state) {
   ItemProgress& progress = job.m_progress[item];
   progress.m_phase = BatchItemPhase::kFinished;
--- a/packages/jobs/job.h
+++ b/packages/jobs/job.h
@@ -114,6 +114,10 @@
 // Waits until no write of the job is in progress, or until `deadline`.
 Task<> WaitForCommit(JobPtr job, Millis deadline);
 
+// Returns the number of results for the next group: as many as fit into one
+// value of the store, at least one if there are any.
+size_t ResultGroupSize(std::span<const JobResult> results);
+
 // Marks an item as finished and appends its result to the unlisted ones. The
 // result carries the output only if `state` is kCompleted.
 void FinishItem(Job& job, size_t item, JobResultState state);
--- a/packages/jobs/job_dependencies.h
+++ b/packages/jobs/job_dependencies.h
@@ -29,6 +29,7 @@
   // Sends gossip to the other VMs at once, ahead of the regular interval.
   std::function<void()> m_send_gossip;
   PlacementSettings m_placement;
+  size_t m_max_value_bytes;  // of the store
   // How long finished jobs are kept, counted from their submission.
   Millis m_retention;
 };
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -8,6 +8,7 @@
 #include "base/random.h"
 #include "base/text.h"
 #include "jobs/job_access.h"
+#include "jobs/job_size.h"
 
 namespace bronzecross {
 
@@ -132,7 +133,8 @@
       is_tentative = is_tentative || !is_direct;
       Result<WriteOutcome> outcome = co_await m_store.Create(
           *job, is_direct ? CreateMode::kAtOnce : CreateMode::kInTwoSteps);
-      if (outcome || outcome.error().m_code == ResultCode::kCorrupt) {
+      if (outcome || outcome.error().m_code == ResultCode::kCorrupt ||
+          (IsRejectedForGood(outcome.error()) && !pending->m_may_exist)) {
         pending->m_outcome = std::move(outcome);
         break;
       }
@@ -170,6 +172,10 @@
 Task<Status> JobService::Submit(JobSpec spec,
                                 int64_t waiting_cap,
                                 Millis deadline) {
+  const Status fits = CheckJobSize(spec, m_dependencies.m_max_value_bytes);
+  if (!fits) {
+    co_return fits;
+  }
   const JobClaim* claim = m_table.m_claims.Find(spec.m_id);
   const bool is_known = m_table.Has(spec.m_id) || claim != nullptr;
   int64_t tokens = 0;
--- a/packages/jobs/job_service.h
+++ b/packages/jobs/job_service.h
@@ -31,7 +31,8 @@
 
   // Accepts a job. Repeating the call is safe. Fails with kRateLimited if the
   // workspace would have more than `waiting_cap` tokens waiting on the route
-  // (0: no cap), with kStoreUnavailable if the store rejected the job, with
+  // (0: no cap), with kBodyTooLarge if the store can't keep a job of its size,
+  // with kStoreUnavailable if the store rejected the job, with
   // kDeadlineExceeded if the outcome is unknown at `deadline`, and with
   // kConflict if the id belongs to another workspace. `m_run` of the error says
   // whether the job may exist.
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "jobs/job_size.h"
 
 namespace bronzecross {
 namespace {
@@ -211,6 +212,9 @@
       const RunState earlier = last.m_run;
       last = outcome.error();
       last.m_run = earlier == RunState::kUnknown ? earlier : last.m_run;
+      if (IsRejectedForGood(last)) {
+        break;
+      }
       co_await m_kv.PauseAfterFailure(deadline);
       continue;
     }
@@ -278,7 +282,8 @@
 Task<Result<WriteOutcome>> BatchJobStore::Release(Job& job, Millis deadline) {
   BatchJobState next;
   KvTransaction transaction;
-  PrepareCommit(job, job.m_unlisted.size(), next, transaction);
+  // What doesn't fit is run again by the next owner.
+  PrepareCommit(job, ResultGroupSize(job.m_unlisted), next, transaction);
   next.m_owner.clear();
   Result<WriteOutcome> outcome =
       co_await WriteState(job, next, std::move(transaction), deadline);
--- a/packages/jobs/job_store.h
+++ b/packages/jobs/job_store.h
@@ -64,9 +64,10 @@
   // unfinished items. Retries until the effect is known.
   Task<WriteOutcome> Commit(Job& job, size_t count);
 
-  // Lists all unlisted results, saves the partial outputs and removes the
-  // owner, so that another VM can take the job over. Fails with
-  // kStoreUnavailable if `deadline` passes before the effect is known.
+  // Lists the unlisted results that fit into one group, saves the partial
+  // outputs and removes the owner, so that another VM can take the job over.
+  // Fails with kStoreUnavailable if `deadline` passes before the effect is
+  // known.
   Task<Result<WriteOutcome>> Release(Job& job, Millis deadline);
 
   // Marks a job of this VM as cancelled. Retries until the effect is known, or
--- a/standins/platform_store_standin.cc
+++ b/standins/platform_store_standin.cc
@@ -258,6 +258,12 @@
     return JsonReply(412, {{"items", current}});
   }
   for (const json& row : body["puts"]) {
+    // Base64 takes four bytes for three.
+    if (row["value"].get_ref<const std::string&>().size() / 4 * 3 >
+        m_faults.m_max_value_bytes + 2) {
+      ++m_too_large_writes;
+      return StatusReply(413);
+    }
     const int64_t lease = row.value("lease", int64_t{0});
     if (lease != 0 && m_leases.find(lease) == m_leases.end()) {
       return StatusReply(404);
--- a/standins/platform_store_standin.h
+++ b/standins/platform_store_standin.h
@@ -29,6 +29,8 @@
   Millis m_late_by;
   // Watches that start from now on, wait and never tell of an event.
   int m_deaf_watches = 0;
+  // Writes of a larger value are answered 413 and do nothing.
+  size_t m_max_value_bytes = 1'048'576;
 };
 
 class PlatformStoreStandin {
@@ -50,6 +52,8 @@
   int Count(std::string_view prefix);
 
   int64_t Calls() const { return m_calls; }
+  // Number of writes of a value that was too large.
+  int64_t TooLargeWrites() const { return m_too_large_writes; }
 
  private:
   struct Item {
@@ -99,6 +103,7 @@
   int64_t m_next_lease ABSL_GUARDED_BY(m_mutex) = 1;
   bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
   std::atomic<int64_t> m_calls = 0;
+  std::atomic<int64_t> m_too_large_writes = 0;
   StandinServer m_server;
 };
 
--- a/tests/hostile/gateway_fuzz_test.cc
+++ b/tests/hostile/gateway_fuzz_test.cc
@@ -18,6 +18,7 @@
 #include "platform/config_document.h"
 #include "platform/keys.h"
 #include "platform/request_headers.h"
+#include "platform/submission_decoder.h"
 #include "platform/upstream_entry.h"
 #include "standins/platform_caller.h"
 
--- a/tests/integration/hostile_callers_test.cc
+++ b/tests/integration/hostile_callers_test.cc
@@ -206,5 +206,25 @@
   CHECK(PeakMemoryMb(cluster.Vm(0).Pid()) - before < kMaxGrowthMb);
 }
 
+// Guards against a submission inside the limits that takes many times its size
+// while it is read: all of it is in a field that nobody reads (review case 7).
+TEST_CASE("a field that nobody reads takes no memory") {
+  GatewayCluster cluster(OneVm(""));
+  cluster.Operator().PublishBodyLimit(2, 4'000'000);
+  const pid_t pid = cluster.Vm(0).Pid();
+  const int64_t before = PeakMemoryMb(pid);
+  std::string body = R"({"note":[{})";
+  while (body.size() < 2'000'000) {
+    body += ",{}";
+  }
+  body += R"(],"items":[{"id":"i","path":"/batch/x","body":"","tokens":1}]})";
+  GatewayRequest job;
+  job.m_target = "/batch/jobs";
+  job.m_id = "noted";
+  job.m_body = body;
+  CHECK(WaitFor([&] { return cluster.Call(job).m_status == 202; }));
+  CHECK(PeakMemoryMb(pid) - before < kMaxGrowthMb);
+}
+
 }  // namespace
 }  // namespace bronzecross
