Failed attempts of an item count on after a hand-over

Cause: the count was kept in the memory of the owner only.

Change: it is saved with the partial outputs, at a hand-over and at the latest 3 s after a failure, and restored by the next owner. Rows of earlier versions are read as well.

--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -24,7 +24,7 @@
 constexpr Millis kScheduleInterval{100};
 
 // Partial outputs are saved at most once in this interval, and only after this
-// many new events. If the VM is lost, its items repeat that
+// many new events or a failed attempt. If the VM is lost, its items repeat that
 // much work.
 constexpr Millis kSaveInterval{3'000};
 constexpr int64_t kMinSavedEvents = 60;
@@ -245,7 +245,8 @@
          now - job.m_last_commit >= ListingInterval(job.m_spec.m_due - wall));
     const bool saves =
         now - job.m_last_commit >= kSaveInterval &&
-        CountPartialEvents(job) - job.m_saved_events >= kMinSavedEvents;
+        (CountPartialEvents(job) - job.m_saved_events >= kMinSavedEvents ||
+         CountFailures(job) > job.m_saved_failures);
     if (!job.m_is_committing && (lists || saves)) {
       due.push_back(entry->second);
     }
--- a/packages/jobs/job.cc
+++ b/packages/jobs/job.cc
@@ -1,5 +1,8 @@
 #include "jobs/job.h"
 
+#include <algorithm>
+#include <climits>
+
 #include <absl/container/flat_hash_set.h>
 
 #include "platform/request_headers.h"
@@ -54,16 +57,22 @@
 void ApplyPartial(Job& job, std::span<const PartialOutput> outputs) {
   for (const PartialOutput& output : outputs) {
     const size_t index = static_cast<size_t>(output.m_item);
-    if (index >= job.m_progress.size() || output.m_last_event < 0) {
+    if (index >= job.m_progress.size()) {
       continue;
     }
     ItemProgress& progress = job.m_progress[index];
-    if (progress.m_phase == BatchItemPhase::kWaiting) {
+    if (progress.m_phase != BatchItemPhase::kWaiting) {
+      continue;
+    }
+    progress.m_failures =
+        static_cast<int>(std::clamp<int64_t>(output.m_failures, 0, INT_MAX));
+    if (output.m_last_event >= 0) {
       progress.m_last_event = output.m_last_event;
       progress.m_output = output.m_output;
       progress.m_has_output = true;
     }
   }
+  job.m_saved_failures = CountFailures(job);
 }
 
 std::vector<PartialOutput> CollectPartial(const Job& job, size_t max_bytes) {
@@ -74,9 +83,15 @@
     const bool is_unfinished = progress.m_phase == BatchItemPhase::kWaiting ||
                                progress.m_phase == BatchItemPhase::kRunning;
     bytes += is_unfinished ? progress.m_output.size() : 0;
-    if (is_unfinished && progress.m_last_event >= 0 && bytes <= max_bytes) {
-      outputs.push_back(
-          {static_cast<int64_t>(i), progress.m_last_event, progress.m_output});
+    PartialOutput output;
+    output.m_item = static_cast<int64_t>(i);
+    output.m_failures = progress.m_failures;
+    if (progress.m_last_event >= 0 && bytes <= max_bytes) {
+      output.m_last_event = progress.m_last_event;
+      output.m_output = progress.m_output;
+    }
+    if (is_unfinished && (output.m_last_event >= 0 || output.m_failures > 0)) {
+      outputs.push_back(std::move(output));
     }
   }
   return outputs;
@@ -93,6 +108,14 @@
   return events;
 }
 
+int64_t CountFailures(const Job& job) {
+  int64_t failures = 0;
+  for (const ItemProgress& progress : job.m_progress) {
+    failures += progress.m_failures;
+  }
+  return failures;
+}
+
 int64_t CountUnfinishedTokens(const Job& job) {
   int64_t tokens = 0;
   for (size_t i = 0; i < job.m_progress.size(); ++i) {
--- a/packages/jobs/job.h
+++ b/packages/jobs/job.h
@@ -80,6 +80,8 @@
   Millis m_next_confirmation;
   // Number of events of unfinished items at the last write of partial outputs.
   int64_t m_saved_events = 0;
+  // Number of failed attempts at the same time.
+  int64_t m_saved_failures = 0;
   Millis m_last_commit;
   // Monotonic time at which the job was done or cancelled.
   Millis m_closed_at;
@@ -98,16 +100,21 @@
                int64_t state_revision,
                std::vector<JobResult> listed);
 
-// Restores the output that unfinished items generated under an earlier owner.
-// Entries for other items and for unknown positions are ignored.
+// Restores the output that unfinished items generated under an earlier owner,
+// and their failed attempts. Entries for other items and for unknown positions
+// are ignored.
 void ApplyPartial(Job& job, std::span<const PartialOutput> outputs);
 
-// Returns the output of unfinished items, up to `max_bytes` in total.
+// Returns the output of unfinished items, up to `max_bytes` in total, and their
+// failed attempts.
 std::vector<PartialOutput> CollectPartial(const Job& job, size_t max_bytes);
 
 // Returns the number of events that unfinished items have generated.
 int64_t CountPartialEvents(const Job& job);
 
+// Returns the number of failed attempts of all items.
+int64_t CountFailures(const Job& job);
+
 // Returns the total tokens of the items that are waiting or running.
 int64_t CountUnfinishedTokens(const Job& job);
 
--- a/packages/jobs/job_record.cc
+++ b/packages/jobs/job_record.cc
@@ -200,8 +200,8 @@
 std::string EncodePartial(std::span<const PartialOutput> outputs) {
   json rows = json::array();
   for (const PartialOutput& output : outputs) {
-    rows.push_back(json::array(
-        {output.m_item, output.m_last_event, ToBinary(output.m_output)}));
+    rows.push_back(json::array({output.m_item, output.m_last_event,
+                                ToBinary(output.m_output), output.m_failures}));
   }
   return Pack(rows);
 }
@@ -214,11 +214,14 @@
   }
   std::vector<PartialOutput> outputs;
   for (const json& row : rows) {
-    if (!HasTypes(row, "nnb")) {
+    // Earlier versions of the program wrote no failures.
+    const bool has_failures = HasTypes(row, "nnbn");
+    if (!has_failures && !HasTypes(row, "nnb")) {
       return std::nullopt;
     }
-    outputs.push_back(
-        {row[0].get<int64_t>(), row[1].get<int64_t>(), FromBinary(row[2])});
+    outputs.push_back({row[0].get<int64_t>(), row[1].get<int64_t>(),
+                       FromBinary(row[2]),
+                       has_failures ? row[3].get<int64_t>() : 0});
   }
   return outputs;
 }
--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -4,8 +4,8 @@
 //                        compare-and-swap on the revision, which fences an
 //                        owner that was replaced
 //   bx/job/ID/results/N  the Nth group of listed results; immutable
-//   bx/job/ID/partial    output of unfinished items, saved at intervals; a new
-//                        owner resumes from it
+//   bx/job/ID/partial    output and failed attempts of unfinished items, saved
+//                        at intervals; a new owner goes on from there
 //   bx/open/ID           the name of the job's route, while the job is open;
 //                        these keys are the index of open jobs
 
@@ -57,11 +57,13 @@
   std::string m_write_id;
 };
 
-// The output of an unfinished item so far.
+// What is known of an unfinished item: its output so far, and its failed
+// attempts, which a new owner goes on counting.
 struct PartialOutput {
-  int64_t m_item = 0;  // index in JobSpec::m_items
-  int64_t m_last_event = -1;
+  int64_t m_item = 0;         // index in JobSpec::m_items
+  int64_t m_last_event = -1;  // -1: no output
   std::string m_output;
+  int64_t m_failures = 0;
 };
 
 inline constexpr std::string_view kOpenJobPrefix = "bx/open/";
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -265,6 +265,7 @@
     return;
   }
   job.m_saved_events = CountPartialEvents(job);
+  job.m_saved_failures = CountFailures(job);
   transaction.m_puts.push_back(
       {JobPartialKey(id), EncodePartial(CollectPartial(job, kMaxPartialBytes)),
        0});
--- a/tests/integration/gateway_jobs_test.cc
+++ b/tests/integration/gateway_jobs_test.cc
@@ -227,6 +227,45 @@
   }
 }
 
+// Guards against an item that fails at each run and comes to replicas again and
+// again, since each owner of its job counts from zero.
+TEST_CASE("failed attempts count on after a hand-over") {
+  constexpr int kAttempts = 9;
+  GatewayCluster cluster(GatewayClusterOptions{});
+  cluster.Operator().PublishRoute(2, "batch", {{"maxAttempts", kAttempts}});
+  cluster.Operator().PublishRoute(3, "mark", {{"prefix", "/mark/"}});
+  GatewayRequest mark;
+  mark.m_target = "/mark/x";
+  mark.m_id = "mark";
+  for (int vm = 0; vm < cluster.VmCount(); ++vm) {
+    mark.m_vm = vm;
+    CHECK(WaitFor([&] { return cluster.Call(mark).m_status == 200; }));
+  }
+  const auto count_runs = [&cluster] {
+    int runs = 0;
+    for (int i = 0; i < cluster.EngineCount(); ++i) {
+      for (const ReplicaRun& run : cluster.Engine(i).Runs()) {
+        runs += run.m_request_id.starts_with("job1") ? 1 : 0;
+      }
+    }
+    return runs;
+  };
+  PlatformReplicaFaults failing;
+  failing.m_fail_status = 500;
+  cluster.Engine(0).SetFaults(failing);
+  cluster.Engine(1).SetFaults(failing);
+  CHECK(cluster.Call(Submission("job1", 1, 0)).m_status == 202);
+  CHECK(WaitFor([&] { return count_runs() >= 4; }));
+  cluster.Vm(0).Signal(SIGTERM);
+  const json page = cluster.WaitForResults(1, "job1", kJobTimeout);
+  REQUIRE(page.is_object());
+  REQUIRE(page["results"].size() == 1);
+  CHECK(page["results"][0]["state"] == "abandoned");
+  // A run that the stop has ended may not count.
+  CHECK(count_runs() >= kAttempts);
+  CHECK(count_runs() <= kAttempts + 1);
+}
+
 TEST_CASE("a job goes on after its VM was killed, and results stay") {
   GatewayClusterOptions options;
   options.m_vms = 3;
