A blocked request stays blocked for as long as it keeps coming

Cause: the block was a side effect of counts that expire after the last broken answer; a blocked attempt breaks nothing, so nothing renewed them.

Change: a blocked attempt renews the entry, and a VM that blocks by the counts of others goes on by its own. What breaks at one upstream at the same time counts once, so that one crash doesn't block a common request.

--- a/packages/dispatch/poison_request_tracker.cc
+++ b/packages/dispatch/poison_request_tracker.cc
@@ -12,10 +12,14 @@
 // upstreams that fail for other reasons while the request runs.
 constexpr int kMaxBrokenResponses = 6;
 
-// How long an entry is kept. Callers retry within seconds, and a fault that
-// breaks many requests is temporary.
+// How long an entry is kept after its last broken response or blocked attempt.
+// Callers retry within seconds, and a fault that breaks many requests is
+// temporary.
 constexpr Millis kRetention{60'000};
 
+// Time within which one crash of an upstream is noticed on all its connections.
+constexpr Millis kSameCrash{250};
+
 // Maximum number of entries in one gossip message; those with the highest
 // counts are kept.
 constexpr size_t kMaxGossipEntries = 12;
@@ -29,15 +33,23 @@
 }
 
 void PoisonRequestTracker::RecordBrokenResponse(uint32_t fingerprint,
+                                                std::string_view upstream,
                                                 Millis now) {
   Entry& entry = m_entries[fingerprint];
-  ++entry.m_count;
+  const uint32_t hash = ShortHash(upstream);
   entry.m_last = now;
+  if (entry.m_count > 0 && entry.m_upstream == hash &&
+      now - entry.m_broke < kSameCrash) {
+    return;
+  }
+  ++entry.m_count;
+  entry.m_upstream = hash;
+  entry.m_broke = now;
 }
 
 bool PoisonRequestTracker::ShouldBlock(uint32_t fingerprint,
                                        const ClusterView& cluster,
-                                       Millis now) const {
+                                       Millis now) {
   const auto own = m_entries.find(fingerprint);
   int count = own == m_entries.end() ? 0 : own->second.m_count;
   for (auto entry = cluster.Peers().begin(); entry != cluster.Peers().end();
@@ -50,7 +62,14 @@
       count += breaks.m_fingerprint == fingerprint ? breaks.m_count : 0;
     }
   }
-  return count >= kMaxBrokenResponses;
+  if (count < kMaxBrokenResponses) {
+    return false;
+  }
+  // The counts of the peers expire if the request only comes here from now on.
+  Entry& entry = m_entries[fingerprint];
+  entry.m_count = std::max(entry.m_count, kMaxBrokenResponses);
+  entry.m_last = now;
+  return true;
 }
 
 void PoisonRequestTracker::AddToGossip(GossipMessage& gossip,
--- a/packages/dispatch/poison_request_tracker.h
+++ b/packages/dispatch/poison_request_tracker.h
@@ -23,8 +23,12 @@
 
 class PoisonRequestTracker {
  public:
-  // Records a lost connection or an invalid response.
-  void RecordBrokenResponse(uint32_t fingerprint, Millis now);
+  // Records a lost connection to `upstream` or an invalid response from it. All
+  // that break at one upstream at the same time count once, since its crash
+  // breaks all that it runs.
+  void RecordBrokenResponse(uint32_t fingerprint,
+                            std::string_view upstream,
+                            Millis now);
   // Clears the entry of a request that received a complete response, since it
   // did not cause the earlier broken ones.
   void RecordCompleteResponse(uint32_t fingerprint) {
@@ -32,10 +36,11 @@
   }
 
   // Returns true if the request must not be run again, judging by the broken
-  // responses recorded at this VM and those reported by the peers.
+  // responses recorded at this VM and those reported by the peers. A request
+  // stays blocked at all VMs for as long as it keeps coming.
   bool ShouldBlock(uint32_t fingerprint,
                    const ClusterView& cluster,
-                   Millis now) const;
+                   Millis now);
   // Adds the recent broken responses to the gossip message.
   void AddToGossip(GossipMessage& gossip, Millis now) const;
   // Removes entries whose retention has expired.
@@ -44,7 +49,10 @@
  private:
   struct Entry {
     int m_count = 0;
-    Millis m_last;  // time of the last broken response
+    Millis m_last;  // time of the last broken response or blocked attempt
+    // Where and when the last response that was counted broke.
+    uint32_t m_upstream = 0;
+    Millis m_broke;
   };
 
   std::map<uint32_t, Entry> m_entries;
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -317,7 +317,8 @@
   if (state != CallState::kBroken) {
     return;
   }
-  m_node.m_poison_requests.RecordBrokenResponse(m_fingerprint, MonotonicNow());
+  m_node.m_poison_requests.RecordBrokenResponse(
+      m_fingerprint, upstream->m_entry.m_id, MonotonicNow());
   if (!m_request.m_fields.m_shared_parts.empty() &&
       m_attempt_events <= kMaxEventsBeforeCrash) {
     Spawn(CheckForCrash(m_node, upstream, m_request.m_fields.m_shared_parts,
