A daemon gets ready while its disk stands still

Callers saw: a VM that started while its disk hung wasn't ready until the disk was back.

Cause: the thread that confirms the manifest also wrote it to the data folder with fsync.

Change: the cache file has a thread of its own.

--- a/packages/distribution/config_distributor.cc
+++ b/packages/distribution/config_distributor.cc
@@ -7,7 +7,6 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/random.h"
-#include "distribution/config_cache.h"
 #include "distribution/config_document.h"
 #include "distribution/config_roles.h"
 #include "peers/message.h"
@@ -38,9 +37,6 @@
 constexpr Millis kPushTimeout{500};
 constexpr int kPushThreads = 8;
 constexpr size_t kPushQueueCapacity = 4096;
-// Delay before the cache file is used, so that a manifest from a peer is
-// preferred.
-constexpr Millis kCacheDelay{1000};
 
 }  // namespace
 
@@ -82,6 +78,9 @@
   m_update_thread = std::thread([this] { RunUpdates(); });
   m_store_poll_thread = std::thread([this] { RunStorePoll(); });
   m_watch_thread = std::thread([this] { RunWatch(); });
+  if (!m_cache_path.empty()) {
+    m_cache_thread = std::thread([this] { RunCache(); });
+  }
 }
 
 void ConfigDistributor::Stop() {
@@ -92,8 +91,8 @@
       m_watch_cancel->Cancel();
     }
   }
-  for (std::thread* thread :
-       {&m_update_thread, &m_store_poll_thread, &m_watch_thread}) {
+  for (std::thread* thread : {&m_update_thread, &m_store_poll_thread,
+                              &m_watch_thread, &m_cache_thread}) {
     if (thread->joinable()) {
       thread->join();
     }
@@ -117,8 +116,6 @@
     do {
       pulled = PullIfBehind();
     } while (pulled);
-    LoadCacheOnce();
-    SaveCache();
     UpdateFreshness();
     absl::MutexLock lock(&m_mutex);
     const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
@@ -197,41 +194,6 @@
   return Install(reply->at("document"), "pull");
 }
 
-void ConfigDistributor::LoadCacheOnce() {
-  if (m_cache_path.empty() || m_cache_load_attempted || Generation() > 0 ||
-      MonotonicNow() - m_created_at < kCacheDelay) {
-    return;
-  }
-  m_cache_load_attempted = true;
-  Result<json> document = ReadConfigCache(m_cache_path);
-  if (document) {
-    m_cached_generation = DocumentGeneration(*document);
-    Install(std::move(*document), "cache");
-  } else if (document.error().m_code != ResultCode::kNotFound) {
-    LogError(Severity::kWarning, LogPart::kConfig,
-             "Failed to load the cached manifest.", document.error());
-  }
-}
-
-void ConfigDistributor::SaveCache() {
-  if (m_cache_path.empty() || Generation() <= m_cached_generation) {
-    return;
-  }
-  json document;
-  {
-    absl::MutexLock lock(&m_mutex);
-    document = m_document;
-  }
-  const Status written = WriteConfigCache(m_cache_path, document);
-  // A full disk must not block the installation. The write is retried with the
-  // next generation.
-  m_cached_generation = DocumentGeneration(document);
-  if (!written) {
-    LogError(Severity::kWarning, LogPart::kConfig,
-             "Failed to cache the manifest.", written.error());
-  }
-}
-
 void ConfigDistributor::UpdateFreshness() {
   const Millis majority_contact = m_membership.LastMajorityContact();
   const int64_t own_generation = Generation();
--- a/packages/distribution/config_distributor.h
+++ b/packages/distribution/config_distributor.h
@@ -57,6 +57,8 @@
   void RunUpdates();
   void RunStorePoll();
   void RunWatch();
+  // Reads and writes the cache file.
+  void RunCache();
 
   void UpdateFreshness();
   bool PullIfBehind();
@@ -107,7 +109,7 @@
   Millis m_confirmed_at ABSL_GUARDED_BY(m_mutex);
   bool m_was_fresh ABSL_GUARDED_BY(m_mutex) = false;
 
-  // Used by the thread of RunUpdates() only.
+  // Used by the thread of RunCache() only.
   int64_t m_cached_generation = 0;
   bool m_cache_load_attempted = false;
 
@@ -115,6 +117,7 @@
   std::thread m_update_thread;
   std::thread m_store_poll_thread;
   std::thread m_watch_thread;
+  std::thread m_cache_thread;  // not started without a cache path
 };
 
 }  // namespace bronzecross
