--- a/review/cases-3/harness/job_read_after_route.cc
+++ b/review/cases-3/harness/job_read_after_route.cc
@@ -1,4 +1,4 @@
-// Case: reads of a finished batch job after its route was removed, at a
+// Case 12: reads of a finished batch job after its route was removed, at a
 // gateway that has started since.
 
 #include <signal.h>
