--- a/review/cases-3/harness/stale_seeds.cc
+++ b/review/cases-3/harness/stale_seeds.cc
@@ -11,6 +11,8 @@
 
 #include <atomic>
 #include <cstdio>
+#include <mutex>
+#include <set>
 #include <thread>
 
 #include "base/net_address.h"
@@ -32,6 +34,8 @@
   std::atomic<int> m_answered = 0;
   std::atomic<int> m_cut = 0;  // after the connection was made
   std::atomic<int> m_no_connection = 0;
+  std::mutex m_mutex;
+  std::set<std::string> m_cut_ids;
 };
 
 // The control address of a machine that stands still: connections are made,
@@ -101,6 +105,10 @@
     const bool is_refused =
         answer.m_error.find("onnect") != std::string::npos &&
         answer.m_error.find("reset") == std::string::npos;
+    if (!is_refused) {
+      const std::lock_guard<std::mutex> lock(totals.m_mutex);
+      totals.m_cut_ids.insert(id);
+    }
     ++(is_refused ? totals.m_no_connection : totals.m_cut);
     world.Log().Add(
         Concat("client: ", id, " got no whole answer: ", answer.m_error));
@@ -171,6 +179,15 @@
                     totals.m_answered.load(), " answered, ",
                     totals.m_cut.load(), " cut off, ",
                     totals.m_no_connection.load(), " without a connection"));
+  // Only a request that had been passed on to a replica counts.
+  std::set<std::string> lost;
+  for (const bronzecross::ReplicaRun& run : world.Runs()) {
+    if (totals.m_cut_ids.contains(run.m_request_id)) {
+      lost.insert(run.m_request_id);
+    }
+  }
+  record.Add(
+      Concat(lost.size(), " of those cut off had been passed on to a replica"));
   if (!is_asked) {
     record.Add("the gateway didn't ask the seed that stands still");
     return kCouldNotRun;
@@ -179,10 +196,10 @@
     record.Add(Concat(name, " has ended by itself, status ", status,
                       " (128 + signal); the end of its log:\n",
                       world.LogTail(last)));
-    return kBroken;
+    return lost.empty() ? kHeld : kBroken;
   }
   record.Add(Concat(name, " still runs"));
-  return totals.m_cut > 0 ? kBroken : kHeld;
+  return lost.empty() ? kHeld : kBroken;
 }
 
 // What the gateway reads is freed memory, so that not every try ends it.
