Tasks hold copies of the settings that SIGHUP changes

Cause: QuerySeeds() iterated over the list in the settings and suspended in the loop; Reload() assigned a longer list to the same vector, which freed the elements that the loop went on to read. No rule said what a task may hold while it is suspended.

The soak has a sequence of changed and unreadable settings with SIGHUP in series, beside the others.

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -340,7 +340,9 @@
 Task<> Gateway::QuerySeeds() {
   // The list of VMs in the store replaces the seeds as soon as it can be read.
   while (m_node.m_cluster.Peers().empty()) {
-    for (const NetAddress& seed : m_node.m_settings.m_seeds) {
+    // SIGHUP may replace the list while a query is suspended.
+    const std::vector<NetAddress> seeds = m_node.m_live_settings.Seeds();
+    for (const NetAddress& seed : seeds) {
       if (seed != m_node.m_settings.m_bootstrap) {
         co_await QuerySeed(seed);
       }
@@ -372,8 +374,7 @@
              settings.error());
     return;
   }
-  m_node.m_settings.m_seeds = settings->m_seeds;
-  m_node.m_settings.m_drain_limit = settings->m_drain_limit;
+  m_node.m_live_settings.Replace(*settings);
   InitBufferedLog(settings->m_log_level, settings->m_log_format);
   Log(Severity::kInfo, LogPart::kMain, "Read the settings again.",
       {{"seeds", settings->m_seeds.size()}});
@@ -384,7 +385,8 @@
   Log(Severity::kInfo, LogPart::kMain, "Draining.",
       {{"callers", m_node.m_caller_connections},
        {"requests", m_node.m_requests_in_progress}});
-  const Millis limit = started + m_node.m_settings.m_drain_limit - kExitMargin;
+  const Millis limit =
+      started + m_node.m_live_settings.DrainLimit() - kExitMargin;
   m_node.m_draining_since = started;
   m_node.m_drain = MakeDrainTimes(started, limit);
   m_node.m_drain_started.NotifyAll();
--- a/packages/gateway/gateway_settings.h
+++ b/packages/gateway/gateway_settings.h
@@ -50,6 +50,26 @@
   LogFormat m_log_format = LogFormat::kText;
 };
 
+// The settings that SIGHUP changes while tasks run. Returns copies only: a task
+// that is suspended while they are replaced must hold no reference to them.
+class LiveSettings {
+ public:
+  explicit LiveSettings(const GatewaySettings& settings) { Replace(settings); }
+  LiveSettings(const LiveSettings&) = delete;
+  LiveSettings& operator=(const LiveSettings&) = delete;
+
+  void Replace(const GatewaySettings& settings) {
+    m_seeds = settings.m_seeds;
+    m_drain_limit = settings.m_drain_limit;
+  }
+  std::vector<NetAddress> Seeds() const { return m_seeds; }
+  Millis DrainLimit() const { return m_drain_limit; }
+
+ private:
+  std::vector<NetAddress> m_seeds;
+  Millis m_drain_limit;
+};
+
 // Fails with kInvalidSettings. The message has one "file:line: reason" per
 // line.
 Result<GatewaySettings> LoadGatewaySettings(const std::string& path);
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -38,6 +38,7 @@
 
 Node::Node(GatewaySettings settings)
     : m_settings(std::move(settings)),
+      m_live_settings(m_settings),
       m_connection_bounds(MakeConnectionBounds(m_settings, m_machine)),
       m_budget(MakeLimits(m_settings, m_machine, CallerLimits())),
       m_caller_table(m_connection_bounds.m_callers,
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -1,5 +1,10 @@
 // State that the tasks of one gateway VM share. It must be used on the event
 // loop's thread only.
+//
+// Any task may change it while another one is suspended. A task keeps across a
+// suspension only what it owns, or what m_settings, a FleetConfigPtr, an
+// UpstreamPtr or a JobPtr that it holds keeps alive and unchanged
+// (docs/design.md, "What a task holds while it is suspended").
 
 #ifndef BRONZECROSS_GATEWAY_NODE_H_
 #define BRONZECROSS_GATEWAY_NODE_H_
@@ -70,7 +75,9 @@
   // Returns whether the load balancer may send callers to this VM.
   bool IsReady() const;
 
-  GatewaySettings m_settings;
+  // As of the start.
+  const GatewaySettings m_settings;
+  LiveSettings m_live_settings;
   const MachineLimits m_machine = ReadMachineLimits();
   const ConnectionBounds m_connection_bounds;
   RefusalLog m_refusals;
--- a/tests/harness/child_process.cc
+++ b/tests/harness/child_process.cc
@@ -6,8 +6,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdint>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 
 namespace bronzecross {
 namespace {
@@ -15,6 +17,19 @@
 constexpr Millis kPoll{5};
 constexpr int kSignalBase = 128;
 
+bool BlocksSignal(pid_t pid, int signal) {
+  constexpr std::string_view kField = "SigBlk:";
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kField)) {
+      const uint64_t mask =
+          std::stoull(line.substr(kField.size()), nullptr, 16);
+      return (mask >> (signal - 1) & 1) != 0;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 ChildProcess::~ChildProcess() {
@@ -28,6 +43,7 @@
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
   arguments.push_back(nullptr);
+  absl::MutexLock lock(&m_mutex);
   m_status = -1;
   m_pid = fork();
   if (m_pid == 0) {
@@ -42,18 +58,33 @@
   }
 }
 
+pid_t ChildProcess::Pid() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_pid;
+}
+
 bool ChildProcess::IsRunning() {
-  return m_pid > 0 && Wait(Millis(0)) == -1;
+  return Pid() > 0 && Wait(Millis(0)) == -1;
 }
 
 void ChildProcess::Signal(int signal) {
+  absl::MutexLock lock(&m_mutex);
   if (m_pid > 0) {
     kill(m_pid, signal);
   }
 }
 
+bool ChildProcess::SignalIfBlocked(int signal) {
+  absl::MutexLock lock(&m_mutex);
+  if (m_pid <= 0 || !BlocksSignal(m_pid, signal)) {
+    return false;
+  }
+  kill(m_pid, signal);
+  return true;
+}
+
 void ChildProcess::Kill() {
-  if (m_pid > 0) {
+  if (Pid() > 0) {
     Signal(SIGKILL);
     Wait(Millis(10'000));
   }
@@ -69,20 +100,24 @@
 
 int ChildProcess::Wait(Millis timeout) {
   const Millis deadline = MonotonicNow() + timeout;
-  while (m_pid > 0) {
-    int status = 0;
-    if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
-      m_status = WIFEXITED(status) ? WEXITSTATUS(status)
-                                   : kSignalBase + WTERMSIG(status);
-      m_pid = -1;
-      break;
+  for (;;) {
+    {
+      absl::MutexLock lock(&m_mutex);
+      int status = 0;
+      if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        m_status = WIFEXITED(status) ? WEXITSTATUS(status)
+                                     : kSignalBase + WTERMSIG(status);
+        m_pid = -1;
+      }
+      if (m_pid <= 0) {
+        return m_status;
+      }
     }
     if (MonotonicNow() >= deadline) {
       return -1;
     }
     SleepFor(kPoll);
   }
-  return m_status;
 }
 
 ProcessUsage ReadUsage(pid_t pid) {
--- a/tests/harness/child_process.h
+++ b/tests/harness/child_process.h
@@ -1,4 +1,4 @@
-// A program started by a test, ended with it.
+// A program started by a test, ended with it. Thread-safe but for Start().
 
 #ifndef BRONZECROSS_TESTS_HARNESS_CHILD_PROCESS_H_
 #define BRONZECROSS_TESTS_HARNESS_CHILD_PROCESS_H_
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <absl/synchronization/mutex.h>
+
 #include "base/clock.h"
 
 namespace bronzecross {
@@ -24,9 +26,12 @@
   void Start(const std::vector<std::string>& command,
              const std::string& log_path);
   bool IsRunning();
-  pid_t Pid() const { return m_pid; }
+  pid_t Pid() const;
 
   void Signal(int signal);
+  // Sends the signal if the process blocks it. Until a new process does, the
+  // signal would end it. Returns whether it was sent.
+  bool SignalIfBlocked(int signal);
   // SIGKILL; returns once the process is gone.
   void Kill();
   void Pause();
@@ -36,8 +41,11 @@
   int Wait(Millis timeout);
 
  private:
-  pid_t m_pid = -1;
-  int m_status = -1;
+  // Held while a signal is sent, so that the process isn't reaped meanwhile and
+  // its id not used again.
+  mutable absl::Mutex m_mutex;
+  pid_t m_pid ABSL_GUARDED_BY(m_mutex) = -1;
+  int m_status ABSL_GUARDED_BY(m_mutex) = -1;
 };
 
 // Processor seconds used and resident bytes of a running process.
--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "base/text.h"
 #include "harness/cluster.h"
@@ -75,6 +76,13 @@
     }
     m_vms.push_back(std::move(vm));
   }
+  const std::vector<std::string> seeds =
+      m_options.m_seeds.empty()
+          ? std::vector<std::string>{BootstrapAddress(0).ToString()}
+          : m_options.m_seeds;
+  for (size_t i = 0; i < m_vms.size(); ++i) {
+    SetSeeds(i, seeds);
+  }
   for (size_t i = 0; i < m_vms.size(); ++i) {
     StartVm(i);
   }
@@ -103,11 +111,16 @@
 }
 
 void GatewayCluster::WriteSettings(size_t index) {
-  const struct Vm& vm = *m_vms[index];
+  struct Vm& vm = *m_vms[index];
+  absl::MutexLock lock(&vm.m_mutex);
   const NetAddress store = vm.m_store_proxy != nullptr
                                ? vm.m_store_proxy->Address()
                                : m_store.Address();
-  std::ofstream file(Concat(vm.m_folder, "/settings.toml"));
+  std::string seeds;
+  for (const std::string& seed : vm.m_seeds) {
+    seeds += Concat(seeds.empty() ? "\"" : ", \"", seed, "\"");
+  }
+  std::ostringstream file;
   file << "[vm]\nid = \"vm-" << index << "\"\navailability_zone = \""
        << m_options.m_vm_zones[index % m_options.m_vm_zones.size()] << "\"\n"
        << "[listen]\ncallers = \"" << m_ip << ":" << vm.m_callers << "\"\n"
@@ -117,27 +130,64 @@
        << "metrics = \"" << m_ip << ":" << vm.m_metrics << "\"\n"
        << "[store]\naddress = \"" << store.ToString()
        << "\"\nhistory_ms = " << m_options.m_store_history.count() << "\n"
-       << "[cluster]\nseeds = [\"" << m_ip << ":" << m_vms[0]->m_bootstrap
-       << "\"]\n"
+       << "[cluster]\nseeds = [" << seeds << "]\n"
        << "[placement]\n"
        << m_options.m_placement
        << (m_options.m_prompt_affinity ? "[dispatch]\nprompt_affinity = true\n"
                                        : "")
-       << "[limits]\ndrain_limit_ms = 8000\n"
+       << "[limits]\ndrain_limit_ms = " << vm.m_drain_limit.count() << "\n"
        << m_options.m_settings;
+  ReplaceSettings(index, file.str());
+}
+
+void GatewayCluster::ReplaceSettings(size_t index, const std::string& text) {
+  const std::string path = SettingsPath(index);
+  const std::string fresh = Concat(path, ".new");
+  std::ofstream(fresh) << text;
+  std::filesystem::rename(fresh, path);
 }
 
 void GatewayCluster::StartVm(size_t index) {
   WriteSettings(index);
+  LaunchVm(index);
+}
+
+void GatewayCluster::LaunchVm(size_t index) {
   struct Vm& vm = *m_vms[index];
   vm.m_process.Start({BRONZECROSS_DAEMON, "--role", "gateway", "--settings",
-                      Concat(vm.m_folder, "/settings.toml")},
+                      SettingsPath(index)},
                      Concat(vm.m_folder, "/log"));
 }
 
+std::string GatewayCluster::SettingsPath(size_t index) const {
+  return Concat(m_vms[index]->m_folder, "/settings.toml");
+}
+
+void GatewayCluster::SetSeeds(size_t index, std::vector<std::string> seeds) {
+  absl::MutexLock lock(&m_vms[index]->m_mutex);
+  m_vms[index]->m_seeds = std::move(seeds);
+}
+
+void GatewayCluster::SetDrainLimit(size_t index, Millis limit) {
+  absl::MutexLock lock(&m_vms[index]->m_mutex);
+  m_vms[index]->m_drain_limit = limit;
+}
+
+void GatewayCluster::ReloadVmFrom(size_t index, const std::string& text) {
+  {
+    absl::MutexLock lock(&m_vms[index]->m_mutex);
+    ReplaceSettings(index, text);
+  }
+  m_vms[index]->m_process.SignalIfBlocked(SIGHUP);
+}
+
 void GatewayCluster::ReloadVm(size_t index) {
   WriteSettings(index);
-  m_vms[index]->m_process.Signal(SIGHUP);
+  m_vms[index]->m_process.SignalIfBlocked(SIGHUP);
+}
+
+NetAddress GatewayCluster::BootstrapAddress(size_t vm) const {
+  return NetAddress{m_ip, static_cast<uint16_t>(m_vms[vm]->m_bootstrap)};
 }
 
 NetAddress GatewayCluster::CallerAddress(size_t vm) const {
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <absl/synchronization/mutex.h>
 #include <nlohmann/json.hpp>
 
 #include "harness/child_process.h"
@@ -38,6 +39,8 @@
   bool m_prompt_affinity = false;
   // Further TOML for each VM's settings, for example "[log]\nlevel = ...".
   std::string m_settings;
+  // Seeds of all VMs until SetSeeds(); empty: the first VM.
+  std::vector<std::string> m_seeds;
 };
 
 // A caller's request to one VM.
@@ -77,14 +80,26 @@
   // Whether the VM tells the load balancer that it is ready.
   bool IsReady(size_t vm);
   void StartVm(size_t vm);
+  // The same with the settings file as it is.
+  void LaunchVm(size_t vm);
   void WaitReady(size_t vm);
-  // Rewrites the VM's settings and tells it with SIGHUP.
+  // Rewrites the VM's settings and tells it with SIGHUP, unless that would end
+  // a process that has just been started. Thread-safe, as are the next three.
   void ReloadVm(size_t vm);
+  // Puts `text` in place of the VM's settings until its next start or reload,
+  // and tells it in the same way.
+  void ReloadVmFrom(size_t vm, const std::string& text);
+  // Used from the VM's next start or reload on.
+  void SetSeeds(size_t vm, std::vector<std::string> seeds);
+  void SetDrainLimit(size_t vm, Millis limit);
+  std::string SettingsPath(size_t vm) const;
   NetAddress CallerAddress(size_t vm) const;
   NetAddress ReadinessAddress(size_t vm) const;
   NetAddress MetricsAddress(size_t vm) const;
   // Where other VMs connect, and where it receives their datagrams.
   NetAddress PeerAddress(size_t vm) const;
+  // Where its seeds point.
+  NetAddress BootstrapAddress(size_t vm) const;
   int VmCount() const { return m_options.m_vms; }
   int EngineCount() const { return m_options.m_engines; }
 
@@ -99,11 +114,16 @@
     int m_peers = 0;
     int m_bootstrap = 0;
     int m_metrics = 0;
+    absl::Mutex m_mutex;  // guards the settings and their file
+    std::vector<std::string> m_seeds ABSL_GUARDED_BY(m_mutex);
+    Millis m_drain_limit ABSL_GUARDED_BY(m_mutex){8'000};
     std::unique_ptr<FaultProxy> m_store_proxy;
     ChildProcess m_process;
   };
 
   void WriteSettings(size_t vm);
+  // Replaces the file at once, so that a process never reads a part of it.
+  void ReplaceSettings(size_t vm, const std::string& text);
 
   GatewayClusterOptions m_options;
   std::string m_folder;
--- a/tests/soak/fault_stream.cc
+++ b/tests/soak/fault_stream.cc
@@ -29,6 +29,13 @@
 constexpr Millis kCalmEvacuation = kSoakEvacuateBound + Millis(2'000);
 constexpr Millis kCalmReturn{3'500};
 
+// Bounds of the settings that are drawn. The settings name three seeds at most;
+// longer lists do no harm.
+constexpr int64_t kMaxDrawnSeeds = 6;
+constexpr Millis kShortestDrainLimit{6'000};
+constexpr Millis kLongestDrainLimit{8'000};
+constexpr int64_t kMaxReloadsInSeries = 6;
+
 // The first two versions of the configuration are written before the faults.
 constexpr int kFirstKeyVersion = 3;
 
@@ -313,6 +320,35 @@
   replica.Register("ready");
 }
 
+// Stale addresses, one that never replies, and VMs, in any number and order.
+std::vector<std::string> DrawSeeds(SoakWorld& world, Draw& draw) {
+  std::vector<std::string> seeds;
+  for (int64_t count = draw.Between(0, kMaxDrawnSeeds); count > 0; --count) {
+    switch (draw.Between(0, 2)) {
+      case 0:
+        seeds.push_back(world.m_silent_seed.Address().ToString());
+        break;
+      case 1:
+        seeds.emplace_back("127.0.0.1:9");
+        break;
+      default:
+        seeds.push_back(world.m_cluster
+                            .BootstrapAddress(Index(static_cast<int>(
+                                draw.Between(0, world.m_options.m_vms - 1))))
+                            .ToString());
+        break;
+    }
+  }
+  return seeds;
+}
+
+void RestoreSettings(SoakWorld& world, int vm) {
+  world.m_cluster.SetSeeds(Index(vm),
+                           {world.m_cluster.BootstrapAddress(0).ToString()});
+  world.m_cluster.SetDrainLimit(Index(vm), kLongestDrainLimit);
+  world.m_cluster.ReloadVm(Index(vm));
+}
+
 // The span begins once the evacuation is acknowledged, and ends before its
 // withdrawal is written.
 template <typename Wait>
@@ -368,6 +404,34 @@
   }
 }
 
+void RunReloads(SoakWorld& world, uint64_t seed, Millis until) {
+  Draw draw(seed);
+  while (MonotonicNow() < until) {
+    draw.SleepBetween(kShortestPauseMs, kLongestPauseMs);
+    const int vm = static_cast<int>(draw.Between(0, world.m_options.m_vms - 1));
+    for (int64_t left = draw.Between(1, kMaxReloadsInSeries); left > 0;
+         --left) {
+      // A VM that another sequence starts meanwhile needs its settings.
+      if (draw.Between(0, 3) == 0 && world.Claim(FaultPlace::kVm, vm)) {
+        world.m_cluster.ReloadVmFrom(Index(vm), "[vm");
+        draw.SleepBetween(0, 200);
+        RestoreSettings(world, vm);
+        world.Release(FaultPlace::kVm, vm);
+        continue;
+      }
+      world.m_cluster.SetSeeds(Index(vm), DrawSeeds(world, draw));
+      world.m_cluster.SetDrainLimit(
+          Index(vm), Millis(draw.Between(kShortestDrainLimit.count(),
+                                         kLongestDrainLimit.count())));
+      world.m_cluster.ReloadVm(Index(vm));
+      draw.SleepBetween(0, 400);
+    }
+  }
+  for (int vm = 0; vm < world.m_options.m_vms; ++vm) {
+    RestoreSettings(world, vm);
+  }
+}
+
 void EvacuateUndisturbed(SoakWorld& world, uint64_t seed) {
   Draw draw(seed);
   SleepFor(kCalmBeforeEvacuation);
--- a/tests/soak/fault_stream.h
+++ b/tests/soak/fault_stream.h
@@ -21,6 +21,10 @@
 void RunEngineFaults(SoakWorld& world, uint64_t seed, Millis until);
 // Evacuations of one engine's zone, each of which is withdrawn:
 void RunEvacuations(SoakWorld& world, uint64_t seed, Millis until);
+// Changed and unreadable settings with SIGHUP in series, at any moment of what
+// the other sequences do to the VMs. It restores the settings at its end. These
+// are planned changes, so they aren't noted as faults, which excuse others:
+void RunReloads(SoakWorld& world, uint64_t seed, Millis until);
 
 // Evacuates one engine's zone while no fault is injected, and returns when its
 // engines are warm again. The checks of evacuations excuse disturbed VMs; this
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -82,6 +82,7 @@
     streams.insert(streams.end(), kEngineStreams, RunEngineFaults);
     streams.push_back(RunStoreFaults);
     streams.push_back(RunEvacuations);
+    streams.push_back(RunReloads);
     absl::BlockingCounter running(static_cast<int>(streams.size()));
     uint64_t seed = m_world.m_options.m_seed * kSeedsPerSoak;
     for (const Stream stream : streams) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -14,6 +14,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include "harness/gateway_cluster.h"
+#include "harness/silent_server.h"
 #include "soak/soak_log.h"
 
 namespace bronzecross {
@@ -42,6 +43,8 @@
   SoakLog& m_log;
   GatewayCluster& m_cluster;
   std::vector<std::unique_ptr<FaultProxy>> m_engine_proxies;
+  // The address of a VM that is gone; it never replies.
+  SilentServer m_silent_seed;
   // Callers start nothing new once it is set.
   std::atomic<bool> m_stopping = false;
 
