A signal that arrives while a program starts stays pending

Callers saw: nothing, as the VM doesn't serve yet; but SIGHUP or SIGTERM ends a gateway that is reading its settings or binding its addresses, and the VM stays away until it is started again. SIGHUP ended a daemon at any time.

Cause: the gateway blocked the signals in the task that reads them, the last step of its start; the daemon never handled SIGHUP.

Evidence: the new cases of reload_test hold a gateway at the reading of its settings and send SIGHUP or SIGTERM. On the untouched program it has ended, and so has a daemon that got SIGHUP; both cases pass with the change.

Change: main() blocks SIGTERM, SIGINT and SIGHUP first, for all roles. A pending SIGHUP reads the settings again, a pending SIGTERM drains.

Not closed: the loading of the libraries before main().

--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -80,13 +80,13 @@
   Condition m_readable;
 };
 
-sigset_t BlockSignals() {
+// The program blocks these signals when it starts.
+sigset_t HandledSignals() {
   sigset_t set;
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
   sigaddset(&set, SIGHUP);
-  sigprocmask(SIG_BLOCK, &set, nullptr);
   return set;
 }
 
@@ -426,8 +426,7 @@
 }
 
 Task<> Gateway::WatchSignals() {
-  const sigset_t set = BlockSignals();
-  SignalSource signals(set);
+  SignalSource signals(HandledSignals());
   for (;;) {
     const int signal = signals.Next();
     if (signal == SIGHUP) {
--- a/programs/bronzecross/drain_signal.cc
+++ b/programs/bronzecross/drain_signal.cc
@@ -16,8 +16,9 @@
 
 }  // namespace
 
-void BlockDrainSignals() {
-  const sigset_t signals = DrainSignals();
+void BlockSignals() {
+  sigset_t signals = DrainSignals();
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
 }
--- a/programs/bronzecross/drain_signal.h
+++ b/programs/bronzecross/drain_signal.h
@@ -5,9 +5,10 @@
 
 namespace bronzecross {
 
-// Blocks SIGTERM and SIGINT for this thread and those it starts, and ignores
-// SIGPIPE. Call before any thread is started.
-void BlockDrainSignals();
+// Blocks SIGTERM, SIGINT and SIGHUP for this thread and those it starts, and
+// ignores SIGPIPE. Call first in main(): until then each of the signals ends
+// the process. One that arrives later stays pending until it is read.
+void BlockSignals();
 
 // Returns when SIGTERM or SIGINT arrives.
 void WaitForDrainSignal();
--- a/programs/bronzecross/gateway_main.cc
+++ b/programs/bronzecross/gateway_main.cc
@@ -1,6 +1,5 @@
 #include "gateway_main.h"
 
-#include <csignal>
 #include <cstdio>
 
 #include "base/log.h"
@@ -32,9 +31,6 @@
 }
 
 int RunStorage(const CommandLine&) {
-  BlockDrainSignals();
-  // This role has no settings to reload.
-  std::signal(SIGHUP, SIG_IGN);
   InitBufferedLog(Severity::kInfo, LogFormat::kText);
   Log(Severity::kInfo, LogPart::kMain, "Started as a storage VM.");
   FlushLog();
--- a/programs/bronzecross/main.cc
+++ b/programs/bronzecross/main.cc
@@ -23,6 +23,7 @@
 }  // namespace
 
 int main(int argc, const char** argv) {
+  bronzecross::BlockSignals();
   const bronzecross::CommandLine line =
       bronzecross::ParseCommandLine(argc, argv);
   if (line.m_version) {
@@ -46,7 +47,6 @@
     return 0;
   }
   mallopt(M_MMAP_THRESHOLD, kMappedBufferBytes);
-  bronzecross::BlockDrainSignals();
   bronzecross::InitLog(settings->m_log_level, settings->m_log_format);
   bronzecross::Daemon daemon(*settings);
   const bronzecross::Status started = daemon.Start();
--- a/tests/integration/reload_test.cc
+++ b/tests/integration/reload_test.cc
@@ -1,6 +1,14 @@
-// SIGHUP with changed settings, with real processes.
+// SIGHUP at any moment of a process's life, with real processes.
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 
 #include <doctest/doctest.h>
 
@@ -31,6 +39,36 @@
   CHECK(cluster.Call(request).m_status == 200);
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Starts the VM and returns once it waits for its settings, of which nothing
+// has been read yet. Returns the descriptor to write them to.
+int LaunchWaitingForSettings(GatewayCluster& cluster) {
+  const std::string path = cluster.SettingsPath(0);
+  std::filesystem::remove(path);
+  REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+  cluster.LaunchVm(0);
+  const int fd = open(path.c_str(), O_WRONLY | O_CLOEXEC);
+  REQUIRE(fd >= 0);
+  return fd;
+}
+
+// The process reads the settings again after SIGHUP, then from a file.
+void GiveSettings(GatewayCluster& cluster, int fd, const std::string& text) {
+  REQUIRE(cluster.Vm(0).IsRunning());
+  const std::string path = cluster.SettingsPath(0);
+  std::filesystem::remove(path);
+  std::ofstream(path) << text;
+  REQUIRE(write(fd, text.data(), text.size()) ==
+          static_cast<ssize_t>(text.size()));
+  close(fd);
+}
+
 // Guards against a gateway that reads the list of seeds after SIGHUP has
 // replaced it (review case 11).
 TEST_CASE("the list of seeds may change while a seed is being queried") {
@@ -76,5 +114,40 @@
         std::string::npos);
 }
 
+// Guards against a process that a signal ends because it hasn't set up the
+// handling of signals yet.
+TEST_CASE("a gateway that is starting keeps a signal until it can handle it") {
+  GatewayClusterOptions options;
+  options.m_vms = 1;
+  GatewayCluster cluster(options);
+  const std::string text = ReadFile(cluster.SettingsPath(0));
+  cluster.Vm(0).Kill();
+  int fd = LaunchWaitingForSettings(cluster);
+  cluster.Vm(0).Signal(SIGHUP);
+  SleepFor(Millis(50));
+  GiveSettings(cluster, fd, text);
+  cluster.WaitReady(0);
+  CheckServes(cluster, "after");
+  CHECK(WaitFor([&] {
+    return cluster.LogOf(0).find("Read the settings again.") !=
+           std::string::npos;
+  }));
+
+  cluster.Vm(0).Kill();
+  fd = LaunchWaitingForSettings(cluster);
+  cluster.Vm(0).Signal(SIGTERM);
+  SleepFor(Millis(50));
+  GiveSettings(cluster, fd, text);
+  CHECK(cluster.Vm(0).Wait(Millis(10'000)) == 0);
+}
+
+// The daemon has no settings to read again.
+TEST_CASE("SIGHUP ends no daemon") {
+  Cluster cluster(ClusterOptions{});
+  cluster.Vm(0).Signal(SIGHUP);
+  SleepFor(Millis(200));
+  CHECK(cluster.Vm(0).IsRunning());
+}
+
 }  // namespace
 }  // namespace bronzecross
