Whether a request is about a job depends on whether the job exists

A submission that is sent again went to the ordinary route, or got 404 where none matched. A caller without a key got 401 for a job that had come without one.

Cause: on a host without a batch route, a call about a job went to a matching route unless this VM happened to know the job. An owner announces a job for 3 s after its end; a VM that starts later, or missed the messages, doesn't know it.

Change: DecideAccess() is told whether the job exists. Where the configuration alone doesn't say that a request is about a job, JobLookup finds that out, from what the VM knows and else from the store; if the store can't tell, the answer is 503. Each acceptance writes the key of its host, so that hosts which never had jobs cost one short list at times.

--- a/packages/gateway/caller_connection.cc
+++ b/packages/gateway/caller_connection.cc
@@ -262,25 +262,52 @@
 }
 
 // Sets the configuration of a request, and what it addresses and in whose name.
-// Fails with kStaleConfig before the first configuration has been read, and
-// like DecideAccess().
-Status Authorize(Node& node, IncomingRequest& request) {
-  request.m_config = node.m_config;
-  if (request.m_config == nullptr) {
-    return tl::unexpected<Error>(MakeError(ResultCode::kStaleConfig,
-                                           "no configuration is known yet",
-                                           kUnconfiguredRetryAfter));
-  }
-  Result<RequestAccess> access = DecideAccess(
-      *request.m_config, request.m_head, request.m_fields,
-      [&node](std::string_view job) { return node.m_jobs->Knows(job); });
-  if (!access) {
-    return tl::unexpected<Error>(access.error());
+// Fails with kStaleConfig before the first configuration has been read, with
+// kStoreUnavailable if it can't be known whether the request is about a job,
+// and like DecideAccess().
+Task<Status> Authorize(Node& node, IncomingRequest& request) {
+  for (;;) {
+    request.m_config = node.m_config;
+    if (request.m_config == nullptr) {
+      co_return tl::unexpected<Error>(MakeError(ResultCode::kStaleConfig,
+                                                "no configuration is known yet",
+                                                kUnconfiguredRetryAfter));
+    }
+    const FleetConfig& config = *request.m_config;
+    const Route* route = FindRoute(config, request.m_fields.m_host,
+                                   TargetPath(request.m_head.m_target));
+    platform::JobCall call = FindPossibleJobCall(
+        request.m_head, request.m_fields, request.m_body, route);
+    const RequestSubject subject =
+        ClassifyRequest(config, request.m_fields, call, route);
+    bool is_job_call = subject == RequestSubject::kJob;
+    if (subject == RequestSubject::kJobIfItExists) {
+      JobQuery query;
+      query.m_job = call.m_job;
+      query.m_host = request.m_fields.m_host;
+      query.m_is_anonymous = IsAnonymous(config, request.m_fields);
+      query.m_config_since = node.m_config_since;
+      query.m_deadline = JobCallDeadline(request);
+      const Result<bool> exists =
+          co_await node.m_jobs->Lookup().Exists(std::move(query));
+      if (!exists) {
+        co_return tl::unexpected<Error>(exists.error());
+      }
+      if (node.m_config != request.m_config) {
+        continue;
+      }
+      is_job_call = *exists;
+    }
+    Result<RequestAccess> access =
+        DecideAccess(config, request.m_fields, call, route, is_job_call);
+    if (!access) {
+      co_return tl::unexpected<Error>(access.error());
+    }
+    request.m_route = access->m_route;
+    request.m_workspace = access->m_workspace;
+    request.m_job_call = std::move(access->m_job_call);
+    co_return Status();
   }
-  request.m_route = access->m_route;
-  request.m_workspace = access->m_workspace;
-  request.m_job_call = std::move(access->m_job_call);
-  return {};
 }
 
 // Logs and counts the rejection of a request and queues the error response.
@@ -306,7 +333,7 @@
                         HttpConnection& caller,
                         IncomingRequest& request) {
   co_await node.WaitUntilConfigured();
-  const Status allowed = Authorize(node, request);
+  const Status allowed = co_await Authorize(node, request);
   if (!allowed) {
     RejectRequest(node, caller, request, allowed.error());
     co_return true;
--- a/packages/gateway/job_calls.cc
+++ b/packages/gateway/job_calls.cc
@@ -33,6 +33,7 @@
 constexpr Millis kTellOwnerFor{10'000};
 
 constexpr int kOkStatus = 200;
+constexpr int kAcceptedStatus = 202;
 constexpr int kNotFoundStatus = 404;
 constexpr int kMisdirected = 421;
 
@@ -49,6 +50,8 @@
       return "body";
     case platform::JobCallKind::kCancel:
       return "end";
+    case platform::JobCallKind::kSubmitAgain:
+      return "submit_again";
     case platform::JobCallKind::kNone:
       break;
   }
@@ -82,6 +85,15 @@
     reply.m_body = *std::move(body);
     co_return reply;
   }
+  if (call.m_kind == platform::JobCallKind::kSubmitAgain) {
+    const Status accepted =
+        co_await node.m_jobs->ConfirmAccepted(call.m_job, workspace);
+    if (!accepted) {
+      co_return MakeErrorReply(accepted.error());
+    }
+    reply.m_status = kAcceptedStatus;
+    co_return reply;
+  }
   const Status ended =
       co_await node.m_jobs->Cancel(call.m_job, workspace, deadline);
   if (!ended) {
@@ -239,7 +251,8 @@
   platform::JobCall call;
   for (const platform::JobCallKind kind :
        {platform::JobCallKind::kReadResults,
-        platform::JobCallKind::kReadItemBody, platform::JobCallKind::kCancel}) {
+        platform::JobCallKind::kReadItemBody, platform::JobCallKind::kCancel,
+        platform::JobCallKind::kSubmitAgain}) {
     if (CallName(kind) == name) {
       call.m_kind = kind;
     }
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -109,6 +109,7 @@
        {"routes", config->m_routes.size()},
        {"workspaces", config->m_workspaces.size()}});
   m_config = std::move(config);
+  m_config_since = MonotonicNow();
   m_upstreams.OnConfig(*m_config);
   m_upstreams.SetEngineMemory(*m_config);
   m_budget.SetLimits(MakeLimits(m_settings, m_machine, m_config->m_limits));
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -93,6 +93,7 @@
   VmRegistration m_registration;
   // Null until the first configuration has been read.
   FleetConfigPtr m_config;
+  Millis m_config_since;  // when m_config was installed
   // Notified when a configuration is installed or a list of VMs is read.
   Condition m_configured;
   UpstreamTable m_upstreams;
--- a/packages/gateway/request_access.cc
+++ b/packages/gateway/request_access.cc
@@ -1,5 +1,7 @@
 #include "gateway/request_access.h"
 
+#include "jobs/job_record.h"
+
 namespace bronzecross {
 namespace {
 
@@ -21,46 +23,73 @@
   return workspace;
 }
 
-// The paths of calls about jobs belong to the hosts of batch routes. On other
-// hosts, a route that matches the path goes first, unless the job is known: its
-// batch route may have been removed.
-bool IsJobCall(const FleetConfig& config,
-               std::string_view host,
-               const Route* route,
-               bool is_known_job) {
-  return route == nullptr || HasBatchRoute(config, host) || is_known_job;
+// The paths of calls about jobs belong to the hosts of batch routes, and to the
+// system where no route matches them.
+bool HasJobPath(const FleetConfig& config,
+                const platform::CallerFields& fields,
+                const platform::JobCall& call,
+                const Route* route) {
+  return call.m_kind != platform::JobCallKind::kNone &&
+         call.m_kind != platform::JobCallKind::kSubmitAgain &&
+         (route == nullptr || HasBatchRoute(config, fields.m_host));
 }
 
 }  // namespace
 
-Result<RequestAccess> DecideAccess(
-    const FleetConfig& config,
-    const MessageHead& head,
-    const platform::CallerFields& fields,
-    absl::FunctionRef<bool(std::string_view)> is_known_job) {
-  const Route* route =
-      FindRoute(config, fields.m_host, TargetPath(head.m_target));
-  const bool needs_key = !config.m_workspaces.empty();
+platform::JobCall FindPossibleJobCall(const MessageHead& head,
+                                      const platform::CallerFields& fields,
+                                      std::string_view body,
+                                      const Route* route) {
   platform::JobCall call = platform::DecodeJobCall(head);
+  if (call.m_kind == platform::JobCallKind::kNone &&
+      (route == nullptr || route->m_kind != RouteKind::kBatch)) {
+    call = platform::DecodeRepeatedSubmission(head, fields.m_request_id, body);
+  }
+  return call;
+}
+
+bool IsAnonymous(const FleetConfig& config,
+                 const platform::CallerFields& fields) {
+  return !config.m_workspaces.empty() && fields.m_key.empty();
+}
+
+RequestSubject ClassifyRequest(const FleetConfig& config,
+                               const platform::CallerFields& fields,
+                               const platform::JobCall& call,
+                               const Route* route) {
+  if (call.m_kind == platform::JobCallKind::kNone) {
+    return RequestSubject::kRoute;
+  }
+  const bool has_job_path = HasJobPath(config, fields, call, route);
+  if (!IsValidJobId(call.m_job)) {
+    return has_job_path ? RequestSubject::kJob : RequestSubject::kRoute;
+  }
+  // Without a key, only jobs that were accepted without one can be used. Where
+  // there is no public batch route any more, few or none are left.
+  const bool may_be_usable =
+      !IsAnonymous(config, fields) || config.m_has_public_batch;
+  return has_job_path && may_be_usable ? RequestSubject::kJob
+                                       : RequestSubject::kJobIfItExists;
+}
+
+Result<RequestAccess> DecideAccess(const FleetConfig& config,
+                                   const platform::CallerFields& fields,
+                                   const platform::JobCall& call,
+                                   const Route* route,
+                                   bool is_job_call) {
   RequestAccess access;
-  if (call.m_kind != platform::JobCallKind::kNone) {
-    const bool is_known = is_known_job(call.m_job);
-    if (IsJobCall(config, fields.m_host, route, is_known)) {
-      const Result<const Workspace*> caller =
-          IdentifyCaller(config, fields.m_key);
-      if (!caller) {
-        return tl::unexpected<Error>(caller.error());
-      }
-      // A caller without a key may only use jobs that were accepted without
-      // one. Where there can't be any, the store isn't asked.
-      if (*caller == nullptr && needs_key && !is_known &&
-          !config.m_has_public_batch) {
-        return FailMissingKey();
-      }
-      access.m_workspace = *caller;
-      access.m_job_call = std::move(call);
-      return access;
+  if (is_job_call) {
+    const Result<const Workspace*> caller =
+        IdentifyCaller(config, fields.m_key);
+    if (!caller) {
+      return tl::unexpected<Error>(caller.error());
     }
+    access.m_workspace = *caller;
+    access.m_job_call = call;
+    return access;
+  }
+  if (HasJobPath(config, fields, call, route)) {
+    return FailMissingKey();
   }
   if (route == nullptr) {
     return Fail(ResultCode::kUnknownRoute, "no route matches");
@@ -75,7 +104,7 @@
   if (!caller) {
     return tl::unexpected<Error>(caller.error());
   }
-  if (*caller == nullptr && needs_key && !route->m_public) {
+  if (*caller == nullptr && IsAnonymous(config, fields) && !route->m_public) {
     return FailMissingKey();
   }
   access.m_workspace = *caller;
--- a/packages/gateway/request_access_test.cc
+++ b/packages/gateway/request_access_test.cc
@@ -39,7 +39,8 @@
   std::string m_host = "h";
   std::string m_target = "/api/lots/j1?after=0";
   std::string m_key = "key-a";
-  bool m_is_known = false;
+  std::string m_body;
+  bool m_exists = false;  // the job
 };
 
 Decision Decide(const FleetConfigPtr& config, const Call& call) {
@@ -49,8 +50,17 @@
   platform::CallerFields fields;
   fields.m_host = call.m_host;
   fields.m_key = call.m_key;
+  fields.m_request_id = "j1";
+  const Route* route =
+      FindRoute(*config, fields.m_host, TargetPath(head.m_target));
+  const platform::JobCall job_call =
+      FindPossibleJobCall(head, fields, call.m_body, route);
+  const RequestSubject subject =
+      ClassifyRequest(*config, fields, job_call, route);
   const Result<RequestAccess> access = DecideAccess(
-      *config, head, fields, [&](std::string_view) { return call.m_is_known; });
+      *config, fields, job_call, route,
+      subject == RequestSubject::kJob ||
+          (subject == RequestSubject::kJobIfItExists && call.m_exists));
   Decision decision;
   if (!access) {
     decision.m_code = access.error().m_code;
@@ -107,7 +117,7 @@
   Route whole = MakeRoute("h", "/", RouteKind::kIdempotent);
   whole.m_public = true;
   const FleetConfigPtr replaced = MakeConfig({whole}, true);
-  const Decision known = Decide(replaced, {.m_is_known = true});
+  const Decision known = Decide(replaced, {.m_exists = true});
   CHECK(known.m_job == "j1");
   CHECK(known.m_workspace == "a");
 }
@@ -144,6 +154,64 @@
   CHECK(Decide(config, other).m_code == ResultCode::kInvalidKey);
 }
 
+// Guards against calls about a job that are passed on to an upstream because
+// this VM doesn't know the job, and requests that are withheld from their route
+// because of their path (review case 12).
+TEST_CASE("an ordinary route gets what may be about a job if there is none") {
+  const std::string items =
+      R"({"items":[{"id":"a","path":"/p","body":"","tokens":1}]})";
+  const std::vector<Call> calls = {
+      Call{}, Call{.m_method = "DELETE", .m_target = "/api/lots/j1"},
+      Call{.m_target = "/api/items/j1?id=i"},
+      Call{.m_method = "POST", .m_target = "/batch/x", .m_body = items}};
+  for (const std::string& prefix : {std::string("/"), std::string("/api/lots/"),
+                                    std::string("/batch/x/")}) {
+    for (const bool is_public : {false, true}) {
+      Route route = MakeRoute("h", prefix, RouteKind::kIdempotent);
+      route.m_public = is_public;
+      const FleetConfigPtr config = MakeConfig(
+          {route, MakeRoute("other", "/batch/", RouteKind::kBatch)}, true);
+      for (Call call : calls) {
+        CAPTURE(prefix);
+        CAPTURE(call.m_target);
+        const bool matches =
+            FindRoute(*config, "h", TargetPath(call.m_target)) != nullptr;
+        call.m_exists = true;
+        CHECK(Decide(config, call).m_job == "j1");
+        CHECK(Decide(config, call).m_workspace == "a");
+        call.m_exists = false;
+        if (matches) {
+          CHECK(Decide(config, call).m_route == Concat("h", prefix));
+        }
+      }
+    }
+  }
+  // A longer prefix beside the batch route, and bodies of another form.
+  const FleetConfigPtr config =
+      MakeConfig({MakeRoute("h", "/batch/", RouteKind::kBatch),
+                  MakeRoute("h", "/batch/x/", RouteKind::kNonIdempotent)},
+                 true);
+  Call again{.m_method = "POST", .m_target = "/batch/x/y", .m_body = items};
+  CHECK(Decide(config, again).m_route == "h/batch/x/");
+  again.m_exists = true;
+  CHECK(Decide(config, again).m_job == "j1");
+  for (const char* body :
+       {"", "question", "{}", R"({"items":[]})", R"({"items":[{"id":"a"}]})"}) {
+    again.m_body = body;
+    CHECK(Decide(config, again).m_route == "h/batch/x/");
+  }
+  again.m_body = items;
+  again.m_target = "/batch/y";
+  CHECK(Decide(config, again).m_route == "h/batch/");
+}
+
+TEST_CASE("without a key, only jobs that came without one can be used") {
+  const FleetConfigPtr config =
+      MakeConfig({MakeRoute("h", "/batch/", RouteKind::kBatch)}, true);
+  CHECK(Decide(config, {.m_key = "", .m_exists = true}).m_job == "j1");
+  CHECK(Decide(config, {.m_key = ""}).m_code == ResultCode::kMissingKey);
+}
+
 TEST_CASE("without workspaces, no request needs a key") {
   const FleetConfigPtr config =
       MakeConfig({MakeRoute("h", "/batch/", RouteKind::kBatch)}, false);
--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -8,6 +8,7 @@
 //                        at intervals; a new owner goes on from there
 //   bx/open/ID           the name of the job's route, while the job is open;
 //                        these keys are the index of open jobs
+// The hosts for which jobs were accepted are listed beside them (job_hosts.h).
 
 #ifndef BRONZECROSS_JOBS_JOB_RECORD_H_
 #define BRONZECROSS_JOBS_JOB_RECORD_H_
--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -70,18 +70,22 @@
     : m_dependencies(std::move(dependencies)),
       m_store(m_dependencies.m_kv, m_dependencies.m_cluster.Self()),
       m_scheduler(m_dependencies, m_store, m_table),
-      m_takeover(m_dependencies, m_store, m_table, [this](JobPtr job) {
-        Activate(std::move(job));
-      }) {}
+      m_takeover(m_dependencies,
+                 m_store,
+                 m_table,
+                 [this](JobPtr job) { Activate(std::move(job)); }),
+      m_lookup(m_dependencies.m_kv,
+               m_store,
+               m_table,
+               m_dependencies.m_retention,
+               [this](std::string_view id, const StoredState& stored) {
+                 WatchJob(id, stored.m_state, stored.m_revision);
+               }) {}
 
 bool JobService::IsOwner(std::string_view id) const {
   return m_table.Has(id);
 }
 
-bool JobService::Knows(std::string_view id) const {
-  return m_table.Has(id) || m_table.m_claims.Find(id) != nullptr;
-}
-
 std::string JobService::OwnerOf(std::string_view id) const {
   const JobClaim* claim = m_table.m_claims.Find(id);
   return claim == nullptr ? "" : claim->m_owner;
@@ -347,6 +351,20 @@
   co_return FailJobNotFound();
 }
 
+Task<Status> JobService::ConfirmAccepted(std::string id,
+                                         std::string workspace) {
+  const JobPtr owned = co_await FindOwned(id);
+  if (owned != nullptr) {
+    co_return CheckJobAccess(owned->m_spec.m_workspace, workspace);
+  }
+  const Result<StoredState> stored = co_await m_store.ReadState(id);
+  if (!stored) {
+    co_return tl::unexpected<Error>(stored.error());
+  }
+  WatchJob(id, stored->m_state, stored->m_revision);
+  co_return CheckJobAccess(stored->m_state.m_workspace, workspace);
+}
+
 Task<Result<WriteOutcome>> JobService::CancelOwn(JobPtr job, Millis deadline) {
   co_await WaitForCommit(job, deadline);
   if (!job->IsOpen()) {
--- a/packages/jobs/job_service.h
+++ b/packages/jobs/job_service.h
@@ -11,6 +11,7 @@
 
 #include "jobs/item_scheduler.h"
 #include "jobs/job_dependencies.h"
+#include "jobs/job_lookup.h"
 #include "jobs/job_store.h"
 #include "jobs/job_table.h"
 #include "jobs/job_takeover.h"
@@ -40,9 +41,8 @@
 
   // Returns whether this VM has the job in memory.
   bool IsOwner(std::string_view id) const;
-  // Returns whether this VM has the job or knows of another VM that has or had
-  // it.
-  bool Knows(std::string_view id) const;
+  // Returns whether the job exists, from memory or from the store.
+  JobLookup& Lookup() { return m_lookup; }
   // Reads the owner of a job that another VM takes for a job of this one.
   void CheckOwner(std::string_view id);
   // Returns the id of the last known owner of the job, or an empty string.
@@ -60,6 +60,9 @@
   Task<Result<std::string>> ReadBody(std::string id,
                                      std::string workspace,
                                      std::string item);
+  // Confirms to a caller that submits a job again that it was accepted. Fails
+  // like CheckJobAccess(), and with kStoreUnavailable.
+  Task<Status> ConfirmAccepted(std::string id, std::string workspace);
   // Cancels a job. Repeating the call is safe. Listed results remain readable.
   // If it fails, `m_run` of the error says whether the job may be cancelled.
   Task<Status> Cancel(std::string id, std::string workspace, Millis deadline);
@@ -108,6 +111,7 @@
   JobTable m_table;
   ItemScheduler m_scheduler;
   JobTakeover m_takeover;
+  JobLookup m_lookup;
 };
 
 }  // namespace bronzecross
--- a/packages/jobs/job_store.cc
+++ b/packages/jobs/job_store.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/text.h"
+#include "jobs/job_hosts.h"
 #include "jobs/job_size.h"
 
 namespace bronzecross {
@@ -21,6 +22,15 @@
 // Maximum number of writes by which one call tries to create a job.
 constexpr int kMaxCreateWrites = 4;
 
+// Adds what is written for a job when it is accepted, beside its own keys.
+void AddAcceptance(const Job& job, KvTransaction& transaction) {
+  const JobSpec& spec = job.m_spec;
+  transaction.m_puts.push_back({OpenJobKey(spec.m_id), spec.m_route, 0});
+  transaction.m_puts.push_back(
+      {JobHostKey(spec.m_host, spec.m_workspace.empty()),
+       EncodeJobHost(WallNow()), 0});
+}
+
 const KvItem* FindItem(const KvOutcome& outcome, std::string_view key) {
   for (const KvItem& item : outcome.m_current) {
     if (item.m_key == key) {
@@ -93,7 +103,7 @@
   transaction.m_puts.push_back({JobSpecKey(id), EncodeJobSpec(job.m_spec), 0});
   transaction.m_puts.push_back({JobStateKey(id), EncodeJobState(state), 0});
   if (phase == JobPhase::kOpen) {
-    transaction.m_puts.push_back({OpenJobKey(id), job.m_spec.m_route, 0});
+    AddAcceptance(job, transaction);
   }
   Result<KvOutcome> outcome = co_await m_kv.Transact(std::move(transaction));
   co_return outcome;
@@ -107,7 +117,7 @@
   KvTransaction transaction;
   transaction.m_conditions.push_back({JobStateKey(id), revision});
   transaction.m_puts.push_back({JobStateKey(id), EncodeJobState(state), 0});
-  transaction.m_puts.push_back({OpenJobKey(id), job.m_spec.m_route, 0});
+  AddAcceptance(job, transaction);
   Result<KvOutcome> outcome = co_await m_kv.Transact(std::move(transaction));
   co_return outcome;
 }
@@ -303,6 +313,14 @@
 }
 
 Task<Result<StoredState>> BatchJobStore::ReadState(std::string id) {
+  Result<StoredState> stored = co_await FindState(std::move(id));
+  if (stored && stored->m_state.m_phase == JobPhase::kTentative) {
+    co_return Fail(ResultCode::kNotFound, "the job was not accepted");
+  }
+  co_return stored;
+}
+
+Task<Result<StoredState>> BatchJobStore::FindState(std::string id) {
   const Result<KvItem> item = co_await m_kv.Get(JobStateKey(id));
   if (!item) {
     co_return tl::unexpected<Error>(item.error());
@@ -312,9 +330,6 @@
     co_return Fail(ResultCode::kCorrupt,
                    "the stored state of the job can't be decoded");
   }
-  if (state->m_phase == JobPhase::kTentative) {
-    co_return Fail(ResultCode::kNotFound, "the job was not accepted");
-  }
   StoredState stored;
   stored.m_state = *std::move(state);
   stored.m_revision = item->m_revision;
--- a/packages/jobs/job_store.h
+++ b/packages/jobs/job_store.h
@@ -75,6 +75,8 @@
   // still take effect.
   Task<Result<WriteOutcome>> Cancel(Job& job, Millis deadline);
 
+  // Returns the state of a job, which may be tentative.
+  Task<Result<StoredState>> FindState(std::string id);
   // Fail with kNotFound if there is no such job.
   Task<Result<StoredState>> ReadState(std::string id);
   Task<Result<JobSpec>> ReadSpec(std::string id);
