A complete response anywhere speaks for a request that crashed upstreams

Cause: each VM counted broken responses and cleared only its own count by a completion. The counts of all VMs were added up, so one crash counted once for each VM that saw it. A blocked request renewed the block, and as nothing was run any more nothing could end it.

A crash, known by the incarnation of the upstream, counts once in the fleet, and only if it ended a run that began after the last complete response of any VM. After three crashes the request is blocked; the way out is a completion of a run in progress, or a trial, one run at one VM, 5 s, 30 s, 10 minutes and then hours after the last crash. The block is checked before each attempt. A VM that starts waits up to 400 ms for gossip, so that it knows what the others block. An unframed response of a suspect counts as complete only if the upstream still accepts connections.

The layout version of gossip is 8.

--- a/packages/cluster/cluster_test.cc
+++ b/packages/cluster/cluster_test.cc
@@ -75,7 +75,8 @@
 
 TEST_CASE("gossip is decoded as encoded, and malformed messages are rejected") {
   GossipMessage gossip = Gossip(Record("b", 7), 9);
-  gossip.m_request_failures = {{77, 3}};
+  gossip.m_request_reports = {
+      {77, Millis(5), {{1, Millis(2), Millis(3), true, false}}}, {78, {}, {}}};
   gossip.m_uses = {{1, 2, 3, 1}};
   gossip.m_levels = {{4, -1.5, 2.5}};
   gossip.m_grants = {{5, 6, 0.25, 8}};
@@ -101,7 +102,17 @@
   CHECK(decoded->m_sender.m_incarnation == 7);
   CHECK(decoded->m_sender.m_address == gossip.m_sender.m_address);
   CHECK(decoded->m_sequence == 9);
-  CHECK(decoded->m_request_failures[0].m_count == 3);
+  REQUIRE(decoded->m_request_reports.size() == 2);
+  CHECK(decoded->m_request_reports[0].m_fingerprint == 77);
+  CHECK(decoded->m_request_reports[0].m_completed_age == Millis(5));
+  REQUIRE(decoded->m_request_reports[0].m_crashes.size() == 1);
+  CHECK(decoded->m_request_reports[0].m_crashes[0].m_upstream_run == 1);
+  CHECK(decoded->m_request_reports[0].m_crashes[0].m_age == Millis(2));
+  CHECK(decoded->m_request_reports[0].m_crashes[0].m_started_age == Millis(3));
+  CHECK(decoded->m_request_reports[0].m_crashes[0].m_is_trial);
+  CHECK_FALSE(decoded->m_request_reports[0].m_crashes[0].m_is_first_hand);
+  CHECK_FALSE(decoded->m_request_reports[1].m_completed_age);
+  CHECK(decoded->m_request_reports[1].m_crashes.empty());
   CHECK(decoded->m_uses[0].m_batch == 3);
   CHECK(decoded->m_levels[0].m_tokens == doctest::Approx(-1.5));
   CHECK(decoded->m_levels[0].m_demand == doctest::Approx(2.5));
--- a/packages/cluster/cluster_view.cc
+++ b/packages/cluster/cluster_view.cc
@@ -29,6 +29,13 @@
   return found == m_peers.end() ? nullptr : &found->second;
 }
 
+bool ClusterView::HasHeardFromPeers() const {
+  return m_peers.empty() ||
+         std::any_of(m_peers.begin(), m_peers.end(), [](const auto& entry) {
+           return entry.second.m_last_seen != Millis();
+         });
+}
+
 void ClusterView::ForEachGroupPeer(
     absl::FunctionRef<void(std::string_view, const PeerVm&)> visit) const {
   if (m_group.m_is_whole_fleet) {
--- a/packages/cluster/cluster_view.h
+++ b/packages/cluster/cluster_view.h
@@ -67,6 +67,8 @@
 
   // Whether the list of VMs has been read from the service at least once.
   bool IsLoaded() const { return m_loaded; }
+  // Whether gossip has arrived from a peer, if there are any.
+  bool HasHeardFromPeers() const;
   // Whether the service lists this VM's current incarnation.
   bool IsSelfListed() const { return m_self_listed; }
   // The VMs that the service lists, this one included if its current
--- a/packages/cluster/gossip_message.cc
+++ b/packages/cluster/gossip_message.cc
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 // Version of the message layout. Messages of another version are rejected.
-constexpr int kLayoutVersion = 7;
+constexpr int kLayoutVersion = 8;
 
 // Positions in the message, which is a MessagePack array. Lists of rows are
 // flat arrays that hold the rows one after another.
@@ -36,7 +36,7 @@
   kPosWaitingTokens,
   kPosQueues,
   kPosJobs,
-  kPosRequestFailures,
+  kPosRequestReports,
   kPosPartCrashes,
   kPosBlamedParts,
   kPosExoneratedParts,
@@ -169,6 +169,64 @@
   return crashes;
 }
 
+// Each row: the fingerprint, the age of the last completion or -1, and four
+// numbers for each crash: the upstream's run, two ages, and flags.
+constexpr size_t kRequestColumns = 2;
+constexpr size_t kCrashColumns = 4;
+constexpr int kTrialFlag = 1;
+constexpr int kFirstHandFlag = 2;
+
+json EncodeRequests(std::span<const RequestReport> requests) {
+  json rows = json::array();
+  for (const RequestReport& report : requests) {
+    json row = {report.m_fingerprint,
+                report.m_completed_age.value_or(Millis(-1)).count()};
+    for (const RequestCrashReport& crash : report.m_crashes) {
+      row.insert(row.end(),
+                 {json(crash.m_upstream_run), json(crash.m_age.count()),
+                  json(crash.m_started_age.count()),
+                  json((crash.m_is_trial ? kTrialFlag : 0) +
+                       (crash.m_is_first_hand ? kFirstHandFlag : 0))});
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+// Returns std::nullopt if a row is invalid.
+std::optional<std::vector<RequestReport>> DecodeRequests(const json& list) {
+  if (!list.is_array()) {
+    return std::nullopt;
+  }
+  std::vector<RequestReport> requests;
+  for (const json& row : list) {
+    const bool is_valid =
+        row.is_array() && row.size() >= kRequestColumns &&
+        row.size() <= kRequestColumns + kCrashColumns * kMaxReportedCrashes &&
+        (row.size() - kRequestColumns) % kCrashColumns == 0 &&
+        std::all_of(row.begin(), row.end(), [](const json& value) {
+          return value.is_number_integer();
+        });
+    if (!is_valid) {
+      return std::nullopt;
+    }
+    RequestReport& report = requests.emplace_back();
+    report.m_fingerprint = row[0].get<uint32_t>();
+    const int64_t completed_age = row[1].get<int64_t>();
+    if (completed_age >= 0) {
+      report.m_completed_age = DecodeAge(completed_age);
+    }
+    for (size_t i = kRequestColumns; i < row.size(); i += kCrashColumns) {
+      const int flags = row[i + 3].get<int>();
+      report.m_crashes.push_back(
+          {row[i].get<uint32_t>(), DecodeAge(row[i + 1].get<int64_t>()),
+           DecodeAge(row[i + 2].get<int64_t>()), (flags & kTrialFlag) != 0,
+           (flags & kFirstHandFlag) != 0});
+    }
+  }
+  return requests;
+}
+
 // Each row: the position in the list of uses, the percentage of the machine,
 // the age of that, and the tokens in flight.
 json EncodeUseFigures(std::span<const UpstreamUse> uses) {
@@ -257,11 +315,6 @@
     jobs.insert(jobs.end(),
                 {json(job.m_job), json(job.m_open), json(job.m_revision)});
   }
-  json request_failures = json::array();
-  for (const RequestFailures& entry : gossip.m_request_failures) {
-    request_failures.insert(request_failures.end(),
-                            {json(entry.m_fingerprint), json(entry.m_count)});
-  }
   json crashes = json::array();
   for (const PartCrashReport& crash : gossip.m_part_crashes) {
     json row = {crash.m_upstream, crash.m_age.count()};
@@ -286,7 +339,7 @@
                                     std::move(waiting),
                                     std::move(queues),
                                     std::move(jobs),
-                                    std::move(request_failures),
+                                    EncodeRequests(gossip.m_request_reports),
                                     std::move(crashes),
                                     EncodeParts(gossip.m_blamed_parts),
                                     EncodeParts(gossip.m_exonerated_parts),
@@ -325,15 +378,13 @@
   const Rows batch_loads(message[kPosBatchLoads], 2);
   const Rows waiting(message[kPosWaitingTokens], 2);
   const Rows queues(message[kPosQueues], 2);
-  const Rows request_failures(message[kPosRequestFailures], 2);
   const Rows blamed(message[kPosBlamedParts], 2);
   const Rows exonerated(message[kPosExoneratedParts], 2);
   const Rows prefixes(message[kPosPrefixes], 4);
   if (!uses.IsValid() || !levels.IsValid() || !grants.IsValid() ||
       !backlogs.IsValid() || !batch_loads.IsValid() || !waiting.IsValid() ||
-      !queues.IsValid() || !request_failures.IsValid() || !blamed.IsValid() ||
-      !exonerated.IsValid() || !prefixes.IsValid() ||
-      !message[kPosPartCrashes].is_array()) {
+      !queues.IsValid() || !blamed.IsValid() || !exonerated.IsValid() ||
+      !prefixes.IsValid() || !message[kPosPartCrashes].is_array()) {
     return std::nullopt;
   }
   GossipMessage gossip;
@@ -379,10 +430,12 @@
     gossip.m_queues.push_back(
         {queues.At<uint32_t>(i, 0), queues.At<int>(i, 1)});
   }
-  for (size_t i = 0; i < request_failures.Count(); ++i) {
-    gossip.m_request_failures.push_back(
-        {request_failures.At<uint32_t>(i, 0), request_failures.At<int>(i, 1)});
+  std::optional<std::vector<RequestReport>> requests =
+      DecodeRequests(message[kPosRequestReports]);
+  if (!requests) {
+    return std::nullopt;
   }
+  gossip.m_request_reports = *std::move(requests);
   gossip.m_blamed_parts = DecodeParts(blamed);
   gossip.m_exonerated_parts = DecodeParts(exonerated);
   std::optional<std::vector<PartCrashReport>> crashes =
--- a/packages/cluster/gossip_message.h
+++ b/packages/cluster/gossip_message.h
@@ -86,11 +86,25 @@
   int64_t m_revision = 0;
 };
 
-// Number of upstream responses to one request that broke off at the sender. A
-// poison request is identified by these counts.
-struct RequestFailures {
+// An upstream whose crash, or other end of its connections, broke runs of a
+// request.
+struct RequestCrashReport {
+  uint32_t m_upstream_run = 0;  // EngineRunKey of the upstream
+  Millis m_age;
+  Millis m_started_age;  // since the last of the runs began
+  bool m_is_trial = false;
+  bool m_is_first_hand = false;  // the sender has seen it itself
+};
+
+// Maximum number of crashes in one report.
+inline constexpr size_t kMaxReportedCrashes = 8;
+
+// What the sender knows of a request that may crash upstreams.
+struct RequestReport {
   uint32_t m_fingerprint = 0;
-  int m_count = 0;
+  // Age of the last complete response that the sender has seen itself.
+  std::optional<Millis> m_completed_age;
+  std::vector<RequestCrashReport> m_crashes;
 };
 
 // Maximum number of parts in one report.
@@ -138,7 +152,7 @@
   std::vector<WaitingTokens> m_waiting_tokens;
   std::vector<OnlineQueue> m_queues;
   std::vector<JobAnnouncement> m_jobs;
-  std::vector<RequestFailures> m_request_failures;
+  std::vector<RequestReport> m_request_reports;
   std::vector<PartCrashReport> m_part_crashes;
   // Parts that crash upstreams, and the first crash that counts.
   std::vector<PartReport> m_blamed_parts;
--- a/packages/gateway/crash_check.cc
+++ b/packages/gateway/crash_check.cc
@@ -16,18 +16,46 @@
 
 }  // namespace
 
+void RecordRequestCrash(Node& node,
+                        const Upstream& upstream,
+                        const EndedRun& run) {
+  const bool has_changed = node.m_poison_requests.RecordCrash(
+      run.m_fingerprint, {.m_upstream_run = upstream.m_run_key,
+                          .m_at = MonotonicNow(),
+                          .m_started = run.m_started,
+                          .m_is_trial = run.m_is_trial,
+                          .m_is_own = true,
+                          .m_is_first_hand = true});
+  if (has_changed) {
+    node.m_gossip->SendToAllSoon();
+  }
+}
+
+void RecordRequestCompletion(Node& node, const EndedRun& run) {
+  if (node.m_poison_requests.RecordCompletion(run.m_fingerprint,
+                                              MonotonicNow())) {
+    node.m_gossip->SendToAllSoon();
+  }
+}
+
 Task<> CheckForCrash(Node& node,
                      UpstreamPtr upstream,
-                     std::vector<uint32_t> parts,
+                     EndedRun run,
                      ResponseEnd end) {
   const Millis now = MonotonicNow();
   const std::unique_ptr<TcpStream> stream = co_await TcpStream::Connect(
       upstream->m_entry.m_address, now + kCrashCheckTimeout);
   if (stream == nullptr) {
-    node.m_crashing_parts.OnCrash(upstream->m_hash, parts, now);
-    node.m_gossip->SendToAllSoon();
+    if (end == ResponseEnd::kUnframed) {
+      RecordRequestCrash(node, *upstream, run);
+    }
+    if (!run.m_parts.empty()) {
+      node.m_crashing_parts.OnCrash(upstream->m_hash, run.m_parts, now);
+      node.m_gossip->SendToAllSoon();
+    }
   } else if (end == ResponseEnd::kUnframed) {
-    node.m_crashing_parts.OnCompletion(parts, now);
+    RecordRequestCompletion(node, run);
+    node.m_crashing_parts.OnCompletion(run.m_parts, now);
   }
 }
 
--- a/packages/gateway/crash_check.h
+++ b/packages/gateway/crash_check.h
@@ -1,5 +1,5 @@
-// Finds out whether an upstream crashed at the end of a response, and records
-// that for the parts of the request's prompt.
+// Records what the end of a response says about whether the request, or a part
+// of its prompt, crashes upstreams.
 
 #ifndef BRONZECROSS_GATEWAY_CRASH_CHECK_H_
 #define BRONZECROSS_GATEWAY_CRASH_CHECK_H_
@@ -20,11 +20,27 @@
   kUnframed,  // it ended with its connection, so it may be incomplete
 };
 
-// Records a crash of `upstream` if it no longer accepts connections. Otherwise
-// an unframed response counts as complete.
+// A run of a request that ended.
+struct EndedRun {
+  uint32_t m_fingerprint = 0;
+  Millis m_started;
+  bool m_is_trial = false;  // of a blocked request
+  // The parts of the prompt that may have crashed the upstream, or that
+  // completed.
+  std::vector<uint32_t> m_parts;
+};
+
+void RecordRequestCrash(Node& node,
+                        const Upstream& upstream,
+                        const EndedRun& run);
+void RecordRequestCompletion(Node& node, const EndedRun& run);
+
+// Checks whether `upstream` still accepts connections. If it doesn't, it has
+// crashed: records that for the parts, and after an unframed response for the
+// request. Otherwise an unframed response counts as complete.
 Task<> CheckForCrash(Node& node,
                      UpstreamPtr upstream,
-                     std::vector<uint32_t> parts,
+                     EndedRun run,
                      ResponseEnd end);
 
 }  // namespace bronzecross
--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -142,11 +142,13 @@
   if (peer == nullptr) {
     return;
   }
+  m_node.m_configured.NotifyAll();
   m_node.m_operator_follower->OnPeerChange(peer->m_gossip.m_operator_change,
                                            now);
   m_node.m_upstream_follower->OnPeerChange(peer->m_gossip.m_upstream_change,
                                            now);
   m_node.m_jobs->OnGossip(peer->m_gossip, now);
+  m_node.m_poison_requests.OnGossip(peer->m_gossip, now);
   m_node.m_crashing_parts.OnGossip(peer->m_gossip, now);
   if (!m_node.m_cluster.OwnGroup().Contains(peer->m_record.m_id)) {
     return;
--- a/packages/gateway/node.cc
+++ b/packages/gateway/node.cc
@@ -134,8 +134,10 @@
 
 Task<> Node::WaitUntilConfigured() {
   const Millis until = m_started + kFirstConfigTimeout;
-  // Without the list of VMs, this VM would act as if it were the only one.
-  while ((m_config == nullptr || !m_cluster.IsLoaded()) &&
+  // Without the list of VMs, this VM would act as if it were the only one, and
+  // without gossip it would run what the others block.
+  while ((m_config == nullptr || !m_cluster.IsLoaded() ||
+          !m_cluster.HasHeardFromPeers()) &&
          MonotonicNow() < until) {
     WaitAny wait(until);
     wait.Add(m_configured);
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -58,7 +58,8 @@
   // Returns the follower of the keys with `prefix`, or null if there is none.
   PrefixFollower* FindFollower(std::string_view prefix);
   // Waits until the first configuration and the first list of VMs have been
-  // read, because connections are accepted slightly earlier. Stops waiting
+  // read and one of these VMs has been heard from, because connections are
+  // accepted slightly earlier. Stops waiting
   // 400 ms after the start, so that a VM that can't reach the store rejects
   // requests without further delay.
   Task<> WaitUntilConfigured();
@@ -94,7 +95,8 @@
   // Null until the first configuration has been read.
   FleetConfigPtr m_config;
   Millis m_config_since;  // when m_config was installed
-  // Notified when a configuration is installed or a list of VMs is read.
+  // Notified when a configuration is installed, a list of VMs is read, or
+  // gossip arrives.
   Condition m_configured;
   UpstreamTable m_upstreams;
   QuotaManager m_quotas;
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -7,7 +7,6 @@
 #include "base/text.h"
 #include "dispatch/repeat_rule.h"
 #include "gateway/buffered_response.h"
-#include "gateway/crash_check.h"
 #include "http1/write_message.h"
 
 namespace bronzecross {
@@ -100,13 +99,12 @@
 }
 
 Task<ServeResult> OnlineRequest::Run() {
-  if (m_node.m_poison_requests.ShouldBlock(m_fingerprint, m_node.m_cluster,
-                                           MonotonicNow())) {
-    co_return Reject(ResultCode::kUpstreamFailed,
-                     "the request is blocked because too many upstreams failed "
-                     "while serving it",
-                     Millis());
+  const RunPermit permit = m_node.m_poison_requests.Permit(
+      m_fingerprint, m_node.m_cluster, MonotonicNow());
+  if (permit == RunPermit::kBlocked) {
+    co_return RejectBlocked();
   }
+  m_is_trial = permit == RunPermit::kTrial;
   if (HasCrashingPart()) {
     co_return RejectCrashingPart();
   }
@@ -130,6 +128,11 @@
     if (upstream == nullptr) {
       co_return RejectWithoutSlot(queue);
     }
+    // Other runs may have crashed upstreams while this one waited.
+    if (IsBlocked()) {
+      queue.Release(*upstream, Tokens());
+      co_return RejectBlocked();
+    }
     if (HasCrashingPart()) {
       queue.Release(*upstream, Tokens());
       co_return RejectCrashingPart();
@@ -141,7 +144,6 @@
       end = co_await RunAttempt(upstream);
     }
     if (end == AttemptResult::kDelivered) {
-      m_node.m_poison_requests.RecordCompleteResponse(m_fingerprint);
       queue.RecordServiceTime(MonotonicNow() - started);
       co_return ServeResult::kResponded;
     }
@@ -159,6 +161,9 @@
     if (m_rejections >= kMaxRejections) {
       co_return RejectWithoutSlot(queue);
     }
+    if (IsBlocked()) {
+      co_return RejectBlocked();
+    }
     m_excluded.insert(upstream->m_entry.m_id);
   }
 }
@@ -187,7 +192,7 @@
           route, {m_runs + 1, m_can_resume, options.m_wait_budget})) {
     request.m_response_timeout = route.m_latency_target * kUnresponsiveFactor;
   }
-  const Millis started = MonotonicNow();
+  m_attempt_started = MonotonicNow();
   m_attempt_events = 0;
   UpstreamCall call(upstream, m_cancellation);
   PromptSend prompt(m_node.m_prompt_cache, upstream->m_run_key, m_memory_tokens,
@@ -242,7 +247,7 @@
   } else if (!m_stream_started) {
     end = co_await RelayBuffered(call, upstream);
     if (end == AttemptResult::kDelivered) {
-      RecordRequestTime(*upstream, MonotonicNow() - started);
+      RecordRequestTime(*upstream, MonotonicNow() - m_attempt_started);
     }
   }
   co_return end;
@@ -303,37 +308,56 @@
   }
   const bool is_unframed = call.EndsWithConnection();
   call.Finish();
-  if (status == kOkStatus) {
-    RecordCompletion(is_unframed, upstream);
-  }
+  RecordCompletion(is_unframed, status, upstream);
   m_caller.Queue(*text);
   m_caller.Queue(body);
   LogEnd("answered", status);
   co_return AttemptResult::kDelivered;
 }
 
+bool OnlineRequest::IsBlocked() const {
+  return m_is_trial ? m_runs > 0
+                    : m_node.m_poison_requests.IsBlocked(m_fingerprint);
+}
+
+EndedRun OnlineRequest::MakeEndedRun() const {
+  EndedRun run;
+  run.m_fingerprint = m_fingerprint;
+  run.m_started = m_attempt_started;
+  run.m_is_trial = m_is_trial;
+  run.m_parts = m_request.m_fields.m_shared_parts;
+  return run;
+}
+
 void OnlineRequest::RecordIfBroken(CallState state,
                                    const UpstreamPtr& upstream) {
   if (state != CallState::kBroken) {
     return;
   }
-  m_node.m_poison_requests.RecordBrokenResponse(
-      m_fingerprint, upstream->m_entry.m_id, MonotonicNow());
-  if (!m_request.m_fields.m_shared_parts.empty() &&
-      m_attempt_events <= kMaxEventsBeforeCrash) {
-    Spawn(CheckForCrash(m_node, upstream, m_request.m_fields.m_shared_parts,
-                        ResponseEnd::kBroken));
+  const EndedRun run = MakeEndedRun();
+  RecordRequestCrash(m_node, *upstream, run);
+  if (!run.m_parts.empty() && m_attempt_events <= kMaxEventsBeforeCrash) {
+    Spawn(CheckForCrash(m_node, upstream, run, ResponseEnd::kBroken));
   }
 }
 
 void OnlineRequest::RecordCompletion(bool is_unframed,
+                                     int status,
                                      const UpstreamPtr& upstream) {
-  const std::vector<uint32_t>& parts = m_request.m_fields.m_shared_parts;
-  if (is_unframed && !parts.empty() &&
-      m_attempt_events <= kMaxEventsBeforeCrash) {
-    Spawn(CheckForCrash(m_node, upstream, parts, ResponseEnd::kUnframed));
-  } else {
-    m_node.m_crashing_parts.OnCompletion(parts, MonotonicNow());
+  EndedRun run = MakeEndedRun();
+  if (status != kOkStatus) {
+    run.m_parts.clear();
+  }
+  const bool may_be_crash =
+      is_unframed && m_attempt_events <= kMaxEventsBeforeCrash;
+  if (may_be_crash && (!run.m_parts.empty() ||
+                       m_node.m_poison_requests.IsSuspect(m_fingerprint))) {
+    Spawn(CheckForCrash(m_node, upstream, run, ResponseEnd::kUnframed));
+    return;
+  }
+  m_node.m_crashing_parts.OnCompletion(run.m_parts, MonotonicNow());
+  if (!may_be_crash) {
+    RecordRequestCompletion(m_node, run);
   }
 }
 
@@ -442,7 +466,7 @@
   }
   const bool is_unframed = call.EndsWithConnection();
   call.Finish();
-  RecordCompletion(is_unframed, upstream);
+  RecordCompletion(is_unframed, kOkStatus, upstream);
   LogEnd("answered", kOkStatus);
   co_return AttemptResult::kDelivered;
 }
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -11,6 +11,7 @@
 #include "dispatch/event_splitter.h"
 #include "dispatch/upstream_call.h"
 #include "gateway/caller_reply.h"
+#include "gateway/crash_check.h"
 #include "gateway/incoming_request.h"
 #include "gateway/node.h"
 #include "prompt_cache/prompt_send.h"
@@ -52,7 +53,14 @@
   void RecordIfBroken(CallState state, const UpstreamPtr& upstream);
   // Records a response that has ended without a sign of a fault. `is_unframed`:
   // only the end of its connection marked its end.
-  void RecordCompletion(bool is_unframed, const UpstreamPtr& upstream);
+  void RecordCompletion(bool is_unframed,
+                        int status,
+                        const UpstreamPtr& upstream);
+  // Returns what is recorded of the current attempt at its end.
+  EndedRun MakeEndedRun() const;
+  // Whether the request may not be run, or not be run again.
+  bool IsBlocked() const;
+  ServeResult RejectBlocked();
   // Whether a part of the prompt is known to crash upstreams.
   bool HasCrashingPart() const;
   ServeResult RejectCrashingPart();
@@ -95,7 +103,10 @@
   // doesn't continue the stream.
   std::string m_stream_type;
   int64_t m_last_event_id = -1;
+  Millis m_attempt_started;
   int m_attempt_events = 0;  // received in the current attempt
+  // Whether the request is blocked and this is the run that tries it.
+  bool m_is_trial = false;
   // Whether another upstream can continue the stream: no event was relayed yet,
   // or the last one has an id.
   bool m_can_resume = true;
--- a/packages/gateway/online_request_end.cc
+++ b/packages/gateway/online_request_end.cc
@@ -5,6 +5,17 @@
 
 namespace bronzecross {
 
+ServeResult OnlineRequest::RejectBlocked() {
+  Log(Severity::kInfo, LogPart::kRouting, "The request is blocked.",
+      {{"request", m_request.m_fields.m_request_id},
+       {"fingerprint", m_fingerprint},
+       {"runs", m_runs}});
+  return Reject(ResultCode::kUpstreamFailed,
+                "the request is blocked because upstreams crashed each time "
+                "that they ran it",
+                Millis());
+}
+
 ServeResult OnlineRequest::RejectCrashingPart() {
   Log(Severity::kInfo, LogPart::kRouting,
       "The request has a prompt part that crashes upstreams.",
--- a/tests/hostile/gateway_fuzz_test.cc
+++ b/tests/hostile/gateway_fuzz_test.cc
@@ -144,7 +144,7 @@
   gossip.m_waiting_tokens = {{1, 2}};
   gossip.m_queues = {{1, 2}};
   gossip.m_jobs = {{"job", true, 5}};
-  gossip.m_request_failures = {{1, 2}};
+  gossip.m_request_reports = {{1, Millis(2), {{3, Millis(4), Millis(5)}}}};
   gossip.m_part_crashes = {{1, Millis(2), {3, 4}}};
   gossip.m_blamed_parts = {{1, Millis(2)}};
   gossip.m_exonerated_parts = {{1, Millis(2)}};
