A run that began after a crash wasn't ended by it

Cause: two breaks of one incarnation of an upstream within 3 s counted as one crash, whenever their runs began.

Change: two breaks are one crash only if each run began before the other one's break, with 100 ms for an end of a connection that is on the way.

--- a/packages/dispatch/request_evidence.cc
+++ b/packages/dispatch/request_evidence.cc
@@ -6,10 +6,10 @@
 namespace bronzecross {
 namespace {
 
-// Crashes of one incarnation of an upstream that are reported within this time
-// are the same one. VMs whose path to it is cut notice it late. An upstream
-// starts again after some seconds, at times with the entry that it had.
-constexpr Millis kSameCrash{3'000};
+// A crash ends only runs that began before it. The slack covers a run that is
+// sent while the end of its connection is on the way, and the time that gossip
+// takes.
+constexpr Millis kCrashSlack{100};
 
 // Pauses before the first trials, from the last crash on, and before each
 // further one. A request that does crash its upstreams costs one of them with
@@ -25,8 +25,9 @@
 constexpr Millis kWindowEnd{5'000};
 
 bool IsSameCrash(const RequestCrash& a, const RequestCrash& b) {
-  const Millis apart = a.m_at > b.m_at ? a.m_at - b.m_at : b.m_at - a.m_at;
-  return a.m_upstream_run == b.m_upstream_run && apart < kSameCrash;
+  return a.m_upstream_run == b.m_upstream_run &&
+         a.m_started <= b.m_at + kCrashSlack &&
+         b.m_started <= a.m_at + kCrashSlack;
 }
 
 }  // namespace
--- a/packages/dispatch/request_evidence.h
+++ b/packages/dispatch/request_evidence.h
@@ -19,7 +19,8 @@
 namespace bronzecross {
 
 // A crash or another end of an upstream's connections that broke responses to
-// the request. However many runs it ended, it counts once.
+// the request. However many runs it ended, it counts once: all of them began
+// before it.
 struct RequestCrash {
   uint32_t m_upstream_run = 0;  // EngineRunKey of the upstream
   Millis m_at;
--- a/packages/dispatch/request_evidence_test.cc
+++ b/packages/dispatch/request_evidence_test.cc
@@ -51,10 +51,18 @@
     AddCrash(evidence, MakeCrash(1, kStart + Millis(100) * i, kStart));
   }
   CHECK(evidence.m_crashes.size() == 1);
-  // The upstream has started again, with the entry that it had.
-  AddCrash(evidence, MakeCrash(1, kStart + Millis(6'000), kStart));
   AddCrash(evidence, MakeCrash(2, kStart, kStart));
+  CHECK(evidence.m_crashes.size() == 2);
+  // A run that began later, before the entry of the upstream changed.
+  AddCrash(evidence,
+           MakeCrash(1, kStart + Millis(1'600), kStart + Millis(1'500)));
   CHECK(evidence.m_crashes.size() == 3);
+  // Reported in the other order.
+  RequestEvidence reversed;
+  AddCrash(reversed,
+           MakeCrash(1, kStart + Millis(1'600), kStart + Millis(1'500)));
+  AddCrash(reversed, MakeCrash(1, kStart, kStart - Millis(500)));
+  CHECK(reversed.m_crashes.size() == 2);
 }
 
 // Guards against times that grow each time that a VM passes them on.
