An entry names an upstream only if all of its fields can be read

Cause: the decoder asked for four of the eight fields of an entry, and took defaults for the others or didn't read them.

A replica in use whose entry becomes odd gets no new requests until its next entry.

--- a/tests/integration/gateway_odd_entries_test.cc
+++ b/tests/integration/gateway_odd_entries_test.cc
@@ -2,6 +2,7 @@
 // gateway processes that read them.
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include "base/text.h"
 #include "harness/cluster.h"
@@ -18,13 +19,14 @@
 std::vector<OddEntry> OddEntries(const std::string& service) {
   const size_t depth = 300'000;
   const auto entry = [&](const std::string& fields) {
-    return Concat(R"({"service":")", service, R"(","state":"ready",)", fields,
-                  "}");
+    return Concat(R"({"service":")", service,
+                  R"(","state":"ready","zone":"zone-a","version":"v1",)",
+                  R"("coldLeftMs":0,"callSeq":1,)", fields, "}");
   };
   return {
       {"nested", std::string(depth, '[')},
       {"nested-field",
-       entry(R"("address":"127.0.0.1:9","slots":4,"born":1,"x":)" +
+       entry(R"("address":"127.0.0.1:9","slots":4,"born":1,"callSeq":)" +
              std::string(depth, '[') + std::string(depth, ']'))},
       {"nested-service", R"({"service":)" + std::string(depth, '{')},
       {"large-float",
@@ -90,5 +92,48 @@
   }
 }
 
+// Guards against requests to the address in an entry of another writer, where
+// some other server listens (review case 13), and against a replica in use that
+// goes on getting requests once its entry is such a one.
+TEST_CASE("an entry that lacks a field names no replica, also one in use") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  // A server that belongs to no service.
+  PlatformStoreStandin elsewhere;
+  PlatformReplicaStandin other(elsewhere, PlatformReplicaOptions());
+  const nlohmann::json sound = {{"service", PlatformReplicaOptions().m_service},
+                                {"address", other.Address().ToString()},
+                                {"zone", "zone-a"},
+                                {"version", "v1"},
+                                {"slots", 8},
+                                {"state", "ready"},
+                                {"coldLeftMs", 0},
+                                {"callSeq", 1},
+                                {"born", 1}};
+  for (const char* field : {"zone", "version", "coldLeftMs", "callSeq"}) {
+    nlohmann::json lacking = sound;
+    lacking.erase(field);
+    cluster.Store().Put(
+        PlatformReplicaStandin::EntryKey(Concat("lacks-", field)),
+        lacking.dump());
+    nlohmann::json typed = sound;
+    typed[field] = nlohmann::json::array();
+    cluster.Store().Put(PlatformReplicaStandin::EntryKey(Concat("odd-", field)),
+                        typed.dump());
+  }
+  cluster.Store().Put(PlatformReplicaStandin::EntryKey("i-0"), "{}");
+  SleepFor(Millis(800));
+  const int64_t before = cluster.Engine(0).Requests();
+  for (int i = 0; i < 40; ++i) {
+    CHECK(cluster.Call(MakeRequest(Concat("r", i), i % 2)).m_status == 200);
+  }
+  CHECK(other.Requests() == 0);
+  CHECK(cluster.Engine(0).Requests() == before);
+  cluster.Engine(0).Register("ready");
+  CHECK(WaitFor([&] {
+    cluster.Call(MakeRequest("again", 0));
+    return cluster.Engine(0).Requests() > before;
+  }));
+}
+
 }  // namespace
 }  // namespace bronzecross
