A job over the cap is refused only if it wasn't accepted before

Cause: the check of the cap was left out only for jobs that the VM knew.

Change: before it refuses a job over the cap, a VM asks the store whether the job was accepted. If the store can't tell, the answer promises nothing. It costs one read for each job over the cap.

--- a/packages/jobs/job_service.cc
+++ b/packages/jobs/job_service.cc
@@ -151,9 +151,21 @@
   for (const JobItem& item : spec.m_items) {
     tokens += item.m_tokens;
   }
+  bool is_accepted = false;
   if (!is_known && waiting_cap > 0) {
     const int64_t waiting = WaitingTokensOf(spec.m_workspace, spec.m_route);
     if (waiting + tokens > waiting_cap) {
+      // An earlier attempt may have been accepted at a VM that this one hasn't
+      // heard of yet. Its tokens are among those that wait.
+      const Result<StoredState> stored = co_await m_store.ReadState(spec.m_id);
+      if (!stored && stored.error().m_code != ResultCode::kNotFound) {
+        co_return FailMayHaveRun(ResultCode::kStoreUnavailable,
+                                 "the store doesn't tell whether the job was "
+                                 "accepted before");
+      }
+      is_accepted = stored.has_value();
+    }
+    if (waiting + tokens > waiting_cap && !is_accepted) {
       Log(Severity::kInfo, LogPart::kBatch,
           "Rejected a job over the token cap.",
           {{"job", spec.m_id},
--- a/tests/integration/gateway_job_limits_test.cc
+++ b/tests/integration/gateway_job_limits_test.cc
@@ -70,6 +70,22 @@
   CHECK(cluster.Store().Count("bx/job/odd") == 0);
 }
 
+// Guards against a resent job that was accepted and is refused as over the cap
+// by a VM that doesn't know of it, though a refusal says that it never runs.
+TEST_CASE("a resent job isn't refused because of the tokens that wait") {
+  GatewayCluster cluster(GatewayClusterOptions{});
+  CHECK(cluster.Call(Submission("job1", 2, 0)).m_status == 202);
+  CHECK(cluster.WaitForResults(0, "job1", kJobTimeout).is_object());
+  cluster.Operator().PublishWaitingCap(2, 1);
+  // The owner tells the others of the end of a job for some seconds.
+  SleepFor(Millis(3'500));
+  cluster.Vm(1).Kill();
+  cluster.StartVm(1);
+  cluster.WaitReady(1);
+  CHECK(cluster.Call(Submission("other", 2, 1)).m_status == 429);
+  CHECK(cluster.Call(Submission("job1", 2, 1)).m_status == 202);
+}
+
 // Guards against an item that fails at each run and comes to replicas again and
 // again, since each owner of its job counts from zero.
 TEST_CASE("failed attempts count on after a hand-over") {
