The times of a job don't move when the wall clock is set

Cause: the Unix times of a job were compared with the wall clock of that moment, also for the removal of results.

Change: a job keeps the difference between the boot clock and the wall clock as of the moment at which the VM got it.

The new case of jobs_test checks the functions; a wall clock can't be set in a test without privileges.

--- a/packages/jobs/item_failures_test.cc
+++ b/packages/jobs/item_failures_test.cc
@@ -42,5 +42,22 @@
   CHECK(next->m_saved_failures == 3);
 }
 
+// Guards against items that are given up, and results that are removed, early
+// because the wall clock of their VM was set.
+TEST_CASE("the times of a job go on when the wall clock is set") {
+  JobSpec spec = MakeSpec();
+  spec.m_submitted = WallNow() - Millis(10'000);
+  spec.m_retained_until = spec.m_submitted + Millis(60'000);
+  const Millis boot_now = BootNow();
+  const JobPtr job =
+      MakeJob(std::move(spec), BatchJobState(), 1, std::vector<JobResult>());
+  // Nothing of this depends on what the wall clock says from now on.
+  CHECK(RetentionLeft(*job, boot_now + Millis(20'000)) > Millis(29'000));
+  CHECK(RetentionLeft(*job, boot_now + Millis(20'000)) < Millis(31'000));
+  CHECK(RetentionLeft(*job, boot_now + Millis(52'000)) < Millis());
+  CHECK(AgeOf(*job, boot_now + Millis(20'000)) > Millis(29'000));
+  CHECK(AgeOf(*job, boot_now + Millis(20'000)) < Millis(31'000));
+}
+
 }  // namespace
 }  // namespace bronzecross
--- a/packages/jobs/item_run.cc
+++ b/packages/jobs/item_run.cc
@@ -168,8 +168,7 @@
   const JobItem& item = job.m_spec.m_items[run.m_item];
   ItemProgress& progress = job.m_progress[run.m_item];
   platform::ForwardOptions options;
-  options.m_wait_budget =
-      std::max(job.m_spec.m_retained_until - WallNow(), kMinRunTime);
+  options.m_wait_budget = std::max(RetentionLeft(job, BootNow()), kMinRunTime);
   options.m_instance = run.m_upstream->m_entry.m_id;
   options.m_workspace = job.m_spec.m_workspace;
   if (progress.m_last_event >= 0) {
--- a/packages/jobs/item_scheduler.cc
+++ b/packages/jobs/item_scheduler.cc
@@ -179,7 +179,7 @@
   const bool route_gone =
       config != nullptr &&
       FindRouteByName(*config, job.m_spec.m_route) == nullptr;
-  if (!route_gone && WallNow() < job.m_spec.m_retained_until) {
+  if (!route_gone && RetentionLeft(job, BootNow()) > Millis()) {
     return;
   }
   for (size_t i = 0; i < job.m_progress.size(); ++i) {
@@ -257,13 +257,13 @@
 }
 
 void ItemScheduler::RemoveExpiredJobs() {
-  const Millis wall = WallNow();
+  const Millis boot_now = BootNow();
   std::vector<JobPtr> expired;
   for (auto entry = m_table.m_jobs.begin(); entry != m_table.m_jobs.end();
        ++entry) {
     const Job& job = *entry->second;
     if (!job.IsOpen() && !job.m_is_committing &&
-        wall - job.m_spec.m_submitted > m_dependencies.m_retention) {
+        AgeOf(job, boot_now) > m_dependencies.m_retention) {
       expired.push_back(entry->second);
     }
   }
--- a/packages/jobs/job.cc
+++ b/packages/jobs/job.cc
@@ -48,12 +48,21 @@
     job->m_expected_events.push_back(ExpectedEvents(item));
   }
   job->m_spec = std::move(spec);
+  job->m_boot_offset = BootNow() - WallNow();
   job->m_state = std::move(state);
   job->m_state_revision = state_revision;
   job->m_listed = std::move(listed);
   return job;
 }
 
+Millis RetentionLeft(const Job& job, Millis boot_now) {
+  return job.m_spec.m_retained_until + job.m_boot_offset - boot_now;
+}
+
+Millis AgeOf(const Job& job, Millis boot_now) {
+  return boot_now - (job.m_spec.m_submitted + job.m_boot_offset);
+}
+
 void ApplyPartial(Job& job, std::span<const PartialOutput> outputs) {
   for (const PartialOutput& output : outputs) {
     const size_t index = static_cast<size_t>(output.m_item);
--- a/packages/jobs/job.h
+++ b/packages/jobs/job.h
@@ -54,6 +54,9 @@
 
 struct Job {
   JobSpec m_spec;
+  // BootNow() - WallNow() when this VM got the job. By it the Unix times of
+  // m_spec don't move when the wall clock is set.
+  Millis m_boot_offset;
   BatchJobState m_state;
   int64_t m_state_revision = 0;
   std::vector<ItemProgress> m_progress;  // one entry for each item
@@ -94,6 +97,11 @@
 
 using JobPtr = std::shared_ptr<Job>;
 
+// Return how long items of the job must still be kept, and since when the job
+// has been kept, at BootNow() `boot_now`.
+Millis RetentionLeft(const Job& job, Millis boot_now);
+Millis AgeOf(const Job& job, Millis boot_now);
+
 // Creates a job. Items with a result in `listed` are marked as listed.
 JobPtr MakeJob(JobSpec spec,
                BatchJobState state,
