A loop goes over metadata that outlives it

Cause: a loop of the test went over the copies of a segment in metadata that only a temporary result held. What it read was freed, so that it could wait for a holder that doesn't exist, or find none too early.

The entry of this test in KNOWN-RED.txt stays: what it tells of is not shown to come from this.

--- a/tests/integration/replicated_ledger_test.cc
+++ b/tests/integration/replicated_ledger_test.cc
@@ -110,8 +110,8 @@
 
   // The closed segment's lost copy is made again on the fourth VM.
   CHECK(WaitFor([&] {
-    for (const std::string& holder :
-         vm.Indexes().Load("led")->m_metadata.m_segments[0].m_copies) {
+    const LedgerMetadata metadata = vm.Indexes().Load("led")->m_metadata;
+    for (const std::string& holder : metadata.m_segments[0].m_copies) {
       if (holder == Cluster::VmId(killed)) {
         return false;
       }
