Evidence on crashes is dated by the clock that counts suspensions

The age of a crash is reported by gossip. A VM that was suspended reported ages without the time of the suspension, and ages in messages end at an hour, so in both cases the others would have taken a known crash for a later one.

Change: the tracker goes by BootNow(), and crashes and completions older than 50 minutes aren't reported. The choice of the VM that tries a blocked request is passed in, as it goes by the other clock.

Result: the new case "a block of several hours doesn't add crashes" and the others of dispatch_test pass. That it failed before was not run.

--- a/packages/dispatch/poison_request_tracker.cc
+++ b/packages/dispatch/poison_request_tracker.cc
@@ -21,6 +21,9 @@
 // How long a VM reports what it has seen itself. Messages can be lost.
 constexpr Millis kReportTime{10'000};
 
+// Older crashes aren't reported: ages in messages are bounded.
+constexpr Millis kMaxReportedAge{3'000'000};
+
 // Maximum number of entries in one gossip message.
 constexpr size_t kMaxReports = 12;
 
@@ -123,9 +126,10 @@
          bronzecross::IsBlocked(found->second.m_evidence);
 }
 
-RunPermit PoisonRequestTracker::Permit(uint32_t fingerprint,
-                                       const ClusterView& cluster,
-                                       Millis now) {
+RunPermit PoisonRequestTracker::Permit(
+    uint32_t fingerprint,
+    absl::FunctionRef<bool(std::string_view)> is_chosen,
+    Millis now) {
   if (!IsBlocked(fingerprint)) {
     return RunPermit::kRun;
   }
@@ -135,9 +139,7 @@
   const int failed = CountFailedTrials(entry.m_evidence);
   if (!window ||
       (entry.m_trial_window == *window && entry.m_trials_failed == failed) ||
-      cluster.FirstResponsiveVmFor(
-          Concat("trial ", fingerprint, " ", failed, " ", *window), now) !=
-          cluster.Self().m_id) {
+      !is_chosen(Concat("trial ", fingerprint, " ", failed, " ", *window))) {
     return RunPermit::kBlocked;
   }
   entry.m_trial_window = *window;
@@ -192,10 +194,13 @@
     RequestReport& report = gossip.m_request_reports.emplace_back();
     report.m_fingerprint = entry->first;
     const Millis completed = OwnCompletion(entry->first);
-    if (completed != Millis()) {
+    if (completed != Millis() && now - completed <= kMaxReportedAge) {
       report.m_completed_age = now - completed;
     }
     for (const RequestCrash& crash : evidence.m_crashes) {
+      if (now - crash.m_started > kMaxReportedAge) {
+        continue;
+      }
       report.m_crashes.push_back({crash.m_upstream_run, now - crash.m_at,
                                   now - crash.m_started, crash.m_is_trial,
                                   crash.m_is_own});
--- a/packages/dispatch/poison_request_tracker.h
+++ b/packages/dispatch/poison_request_tracker.h
@@ -10,8 +10,9 @@
 #include <string_view>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
-#include "cluster/cluster_view.h"
+#include "cluster/gossip_message.h"
 #include "dispatch/request_evidence.h"
 
 namespace bronzecross {
@@ -28,6 +29,8 @@
   kBlocked,  // it must not be run
 };
 
+// All times are those of BootNow(): the ages that a VM reports must include the
+// time for which it was suspended.
 class PoisonRequestTracker {
  public:
   // Records a broken response of an upstream to a run of the request, and a
@@ -39,9 +42,10 @@
   bool IsSuspect(uint32_t fingerprint) const;
 
   // Decides whether a request may be run. Of all VMs, one at a time may try a
-  // blocked request.
+  // blocked request: `is_chosen` returns whether this VM is the one that all
+  // VMs choose by the given key.
   RunPermit Permit(uint32_t fingerprint,
-                   const ClusterView& cluster,
+                   absl::FunctionRef<bool(std::string_view)> is_chosen,
                    Millis now);
   bool IsBlocked(uint32_t fingerprint) const;
 
--- a/packages/dispatch/poison_request_tracker_test.cc
+++ b/packages/dispatch/poison_request_tracker_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "base/text.h"
+#include "cluster/cluster_view.h"
 #include "dispatch/poison_request_tracker.h"
 
 namespace bronzecross {
@@ -57,7 +58,13 @@
     }
   }
   RunPermit Permit(size_t vm, uint32_t request) {
-    return m_trackers[vm].Permit(request, m_views[vm], m_now);
+    return m_trackers[vm].Permit(
+        request,
+        [&](std::string_view key) {
+          return m_views[vm].FirstResponsiveVmFor(key, m_now) ==
+                 m_views[vm].Self().m_id;
+        },
+        m_now);
   }
   void Crash(size_t vm,
              uint32_t request,
@@ -275,6 +282,17 @@
   CHECK(fleet.IsBlockedAnywhere(kRequest));
 }
 
+// Guards against crashes whose reported age stops growing, and which are then
+// taken for new ones.
+TEST_CASE("a block of several hours doesn't add crashes") {
+  Fleet fleet(2);
+  Block(fleet);
+  CHECK(SendPoison(fleet, Millis(700'000)) == 3);
+  CHECK(SendPoison(fleet, Millis(3'500'000)) == 0);
+  CHECK(SendPoison(fleet, Millis(200'000)) == 1);
+  CHECK(SendPoison(fleet, Millis(3'000'000)) == 0);
+}
+
 TEST_CASE("a VM keeps a bounded number of requests") {
   Fleet fleet(2);
   for (uint32_t request = 0; request < 5'000; ++request) {
--- a/packages/gateway/crash_check.cc
+++ b/packages/gateway/crash_check.cc
@@ -21,7 +21,7 @@
                         const EndedRun& run) {
   const bool has_changed = node.m_poison_requests.RecordCrash(
       run.m_fingerprint, {.m_upstream_run = upstream.m_run_key,
-                          .m_at = MonotonicNow(),
+                          .m_at = BootNow(),
                           .m_started = run.m_started,
                           .m_is_trial = run.m_is_trial,
                           .m_is_own = true,
@@ -32,8 +32,7 @@
 }
 
 void RecordRequestCompletion(Node& node, const EndedRun& run) {
-  if (node.m_poison_requests.RecordCompletion(run.m_fingerprint,
-                                              MonotonicNow())) {
+  if (node.m_poison_requests.RecordCompletion(run.m_fingerprint, BootNow())) {
     node.m_gossip->SendToAllSoon();
   }
 }
--- a/packages/gateway/crash_check.h
+++ b/packages/gateway/crash_check.h
@@ -23,7 +23,7 @@
 // A run of a request that ended.
 struct EndedRun {
   uint32_t m_fingerprint = 0;
-  Millis m_started;
+  Millis m_started;         // BootNow()
   bool m_is_trial = false;  // of a blocked request
   // The parts of the prompt that may have crashed the upstream, or that
   // completed.
--- a/packages/gateway/gateway.cc
+++ b/packages/gateway/gateway.cc
@@ -270,7 +270,7 @@
     }
     m_node.m_upstreams.DropPostponed(now);
     m_node.m_cluster.Expire(now);
-    m_node.m_poison_requests.Expire(now);
+    m_node.m_poison_requests.Expire(BootNow());
     if (m_node.m_crashing_parts.Update(now)) {
       m_gossip.SendToAllSoon();
     }
--- a/packages/gateway/gossip_exchange.cc
+++ b/packages/gateway/gossip_exchange.cc
@@ -86,7 +86,7 @@
   if (m_node.m_config != nullptr) {
     m_node.m_quotas.AddToGossip(*m_node.m_config, message, now);
   }
-  m_node.m_poison_requests.AddToGossip(message, now);
+  m_node.m_poison_requests.AddToGossip(message, BootNow());
   m_node.m_crashing_parts.AddToGossip(message, now);
   m_node.m_prompt_cache.AddToGossip(message, now);
   m_node.m_jobs->AddToGossip(message, now);
@@ -148,7 +148,7 @@
   m_node.m_upstream_follower->OnPeerChange(peer->m_gossip.m_upstream_change,
                                            now);
   m_node.m_jobs->OnGossip(peer->m_gossip, now);
-  m_node.m_poison_requests.OnGossip(peer->m_gossip, now);
+  m_node.m_poison_requests.OnGossip(peer->m_gossip, BootNow());
   m_node.m_crashing_parts.OnGossip(peer->m_gossip, now);
   if (!m_node.m_cluster.OwnGroup().Contains(peer->m_record.m_id)) {
     return;
--- a/packages/gateway/online_request.cc
+++ b/packages/gateway/online_request.cc
@@ -100,7 +100,12 @@
 
 Task<ServeResult> OnlineRequest::Run() {
   const RunPermit permit = m_node.m_poison_requests.Permit(
-      m_fingerprint, m_node.m_cluster, MonotonicNow());
+      m_fingerprint,
+      [this](std::string_view key) {
+        return m_node.m_cluster.FirstResponsiveVmFor(key, MonotonicNow()) ==
+               m_node.m_cluster.Self().m_id;
+      },
+      BootNow());
   if (permit == RunPermit::kBlocked) {
     co_return RejectBlocked();
   }
@@ -192,7 +197,8 @@
           route, {m_runs + 1, m_can_resume, options.m_wait_budget})) {
     request.m_response_timeout = route.m_latency_target * kUnresponsiveFactor;
   }
-  m_attempt_started = MonotonicNow();
+  const Millis started = MonotonicNow();
+  m_attempt_started = BootNow();
   m_attempt_events = 0;
   UpstreamCall call(upstream, m_cancellation);
   PromptSend prompt(m_node.m_prompt_cache, upstream->m_run_key, m_memory_tokens,
@@ -247,7 +253,7 @@
   } else if (!m_stream_started) {
     end = co_await RelayBuffered(call, upstream);
     if (end == AttemptResult::kDelivered) {
-      RecordRequestTime(*upstream, MonotonicNow() - m_attempt_started);
+      RecordRequestTime(*upstream, MonotonicNow() - started);
     }
   }
   co_return end;
--- a/packages/gateway/online_request.h
+++ b/packages/gateway/online_request.h
@@ -103,7 +103,7 @@
   // doesn't continue the stream.
   std::string m_stream_type;
   int64_t m_last_event_id = -1;
-  Millis m_attempt_started;
+  Millis m_attempt_started;  // BootNow()
   int m_attempt_events = 0;  // received in the current attempt
   // Whether the request is blocked and this is the run that tries it.
   bool m_is_trial = false;
