The soak reloads VMs that are starting first

Change: the sequence takes a VM that was started in the last 0.4 s, if there is one, and else the drawn one.

--- a/tests/harness/gateway_cluster.cc
+++ b/tests/harness/gateway_cluster.cc
@@ -157,6 +157,13 @@
   vm.m_process.Start({BRONZECROSS_DAEMON, "--role", "gateway", "--settings",
                       SettingsPath(index)},
                      Concat(vm.m_folder, "/log"));
+  absl::MutexLock lock(&vm.m_mutex);
+  vm.m_launched = MonotonicNow();
+}
+
+Millis GatewayCluster::LaunchedAt(size_t index) {
+  absl::MutexLock lock(&m_vms[index]->m_mutex);
+  return m_vms[index]->m_launched;
 }
 
 std::string GatewayCluster::SettingsPath(size_t index) const {
--- a/tests/harness/gateway_cluster.h
+++ b/tests/harness/gateway_cluster.h
@@ -82,6 +82,8 @@
   void StartVm(size_t vm);
   // The same with the settings file as it is.
   void LaunchVm(size_t vm);
+  // When the VM was last started. Thread-safe.
+  Millis LaunchedAt(size_t vm);
   void WaitReady(size_t vm);
   // Rewrites the VM's settings and tells it with SIGHUP, unless that would end
   // a process that has just been started. Thread-safe, as are the next three.
@@ -117,6 +119,7 @@
     absl::Mutex m_mutex;  // guards the settings and their file
     std::vector<std::string> m_seeds ABSL_GUARDED_BY(m_mutex);
     Millis m_drain_limit ABSL_GUARDED_BY(m_mutex){8'000};
+    Millis m_launched ABSL_GUARDED_BY(m_mutex);
     std::unique_ptr<FaultProxy> m_store_proxy;
     ChildProcess m_process;
   };
--- a/tests/soak/fault_stream.cc
+++ b/tests/soak/fault_stream.cc
@@ -36,6 +36,10 @@
 constexpr Millis kLongestDrainLimit{8'000};
 constexpr int64_t kMaxReloadsInSeries = 6;
 
+// A VM asks its seeds in the first moments after its start, unless it knows
+// others already.
+constexpr Millis kJustStarted{400};
+
 // The first two versions of the configuration are written before the faults.
 constexpr int kFirstKeyVersion = 3;
 
@@ -342,6 +346,20 @@
   return seeds;
 }
 
+// Waits until `until`, or for a VM that was started after `since`. Returns the
+// VM, or -1 if none was.
+int WaitForStart(SoakWorld& world, Millis since, Millis until) {
+  for (; MonotonicNow() < until; SleepFor(Millis(5))) {
+    for (int vm = 0; vm < world.m_options.m_vms; ++vm) {
+      const Millis launched = world.m_cluster.LaunchedAt(Index(vm));
+      if (launched > since && MonotonicNow() - launched < kJustStarted) {
+        return vm;
+      }
+    }
+  }
+  return -1;
+}
+
 void RestoreSettings(SoakWorld& world, int vm) {
   world.m_cluster.SetSeeds(Index(vm),
                            {world.m_cluster.BootstrapAddress(0).ToString()});
@@ -406,9 +424,14 @@
 
 void RunReloads(SoakWorld& world, uint64_t seed, Millis until) {
   Draw draw(seed);
+  Millis since = MonotonicNow();
   while (MonotonicNow() < until) {
-    draw.SleepBetween(kShortestPauseMs, kLongestPauseMs);
-    const int vm = static_cast<int>(draw.Between(0, world.m_options.m_vms - 1));
+    const Millis pause(draw.Between(kShortestPauseMs, kLongestPauseMs));
+    const int drawn =
+        static_cast<int>(draw.Between(0, world.m_options.m_vms - 1));
+    const int started = WaitForStart(world, since, MonotonicNow() + pause);
+    const int vm = started >= 0 ? started : drawn;
+    since = MonotonicNow();
     for (int64_t left = draw.Between(1, kMaxReloadsInSeries); left > 0;
          --left) {
       // A VM that another sequence starts meanwhile needs its settings.
